--- /dev/null
+++ b/client/doc.go
@@ -0,0 +1,7 @@
+// Package client calls the caller interface of an entry, or of the balancer in front
+// of the entries.
+//
+// Submit is what most callers want: it reserves an identifier, sends the job under it
+// and asks again until there is a final answer. Asking again is harmless, for the
+// owner of the identifier starts the job once.
+package client
--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,245 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// Config holds the settings of a client.
+type Config struct {
+	// IdleTimeout is how long an idle connection is kept. A connection that went
+	// silent while idle would swallow the next task, so only connections that
+	// answered this recently are used again; any other task gets a new one.
+	IdleTimeout time.Duration
+	// DialTimeout bounds the wait for a connection.
+	DialTimeout time.Duration
+	// SilenceTimeout is how long sent data may go unacknowledged, and about how long
+	// a connection may go without any sign of the other end, before it is broken off.
+	SilenceTimeout time.Duration
+	// MaxReplyBytes bounds one task's result.
+	MaxReplyBytes int64
+}
+
+// Client calls workers. It is safe for concurrent use.
+type Client struct {
+	config Config
+	dialer net.Dialer
+	mu     sync.Mutex
+	// transports holds one transport per worker, so that the idle connections of one
+	// worker can be closed without touching the others.
+	transports map[string]*http.Transport
+}
+
+// NewClient returns a client.
+func NewClient(c Config) *Client {
+	const probes = 3
+	every := max(c.SilenceTimeout/(probes+1), time.Second)
+	return &Client{
+		config: c,
+		dialer: net.Dialer{
+			Timeout:         c.DialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: every, Interval: every, Count: probes},
+			Control:         userTimeout(c.SilenceTimeout),
+		},
+		transports: make(map[string]*http.Transport),
+	}
+}
+
+// userTimeout sets how long sent data may go unacknowledged. Without it the kernel
+// resends for minutes on a connection whose other end is gone for good.
+func userTimeout(d time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var opt error
+		err := c.Control(func(fd uintptr) {
+			opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		return errors.CombineErrors(err, opt)
+	}
+}
+
+// transport returns the transport of one worker.
+func (c *Client) transport(worker string) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.transports[worker]
+	if t == nil {
+		t = &http.Transport{
+			DialContext:         c.dial,
+			IdleConnTimeout:     c.config.IdleTimeout,
+			MaxIdleConnsPerHost: maxIdlePerWorker,
+			DisableCompression:  true,
+		}
+		c.transports[worker] = t
+	}
+	return t
+}
+
+// maxIdlePerWorker bounds the idle connections to one worker.
+const maxIdlePerWorker = 16
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &trackedConn{Conn: conn}, nil
+}
+
+// Forget closes the idle connections of workers that are not in keep.
+func (c *Client) Forget(keep map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for w, t := range c.transports {
+		if !keep[w] {
+			t.CloseIdleConnections()
+			delete(c.transports, w)
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() { c.Forget(nil) }
+
+// Task is one call of a worker.
+type Task struct {
+	// Worker is the worker's IP:port.
+	Worker string
+	// Path is the HTTP path of the kind.
+	Path       string
+	Submission string
+	Index      int
+	// Remaining is the time left until the deadline.
+	Remaining time.Duration
+	// Payload is sent as the body.
+	Payload []byte
+}
+
+// Result is what a worker answered.
+type Result struct {
+	Body []byte
+	// Leaving is set when the worker said that it is leaving, also beside a failure.
+	Leaving bool
+}
+
+// attempt follows one request onto its connection.
+type attempt struct {
+	mu   sync.Mutex
+	conn *trackedConn
+	mark int
+}
+
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn, _ = info.Conn.(*trackedConn)
+	if a.conn != nil {
+		a.mark = a.conn.mark()
+	}
+}
+
+// seal tells whether the request may have left this process, and makes sure that it
+// won't any more.
+func (a *attempt) seal() (sent bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn != nil && a.conn.seal(a.mark)
+}
+
+// Do sends a task once and returns its result. It never sends a task again by
+// itself; net/http's own replays are off, for the body can't be read twice.
+//
+// Failures: DialFailed and NothingSent (NotRun), WorkerRefused and WorkerLeaving
+// (NotRun, the worker says so), TaskFailed, TaskTimeout, ConnectionLost and
+// ReplyTooLarge (MayHaveRun).
+func (c *Client) Do(ctx context.Context, t Task) (Result, *verdict.Failure) {
+	var a attempt
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	req, err := c.request(ctx, t)
+	if err != nil {
+		return Result{}, verdict.Wrap(err, verdict.NotRun, verdict.Internal, "building the request")
+	}
+	transport := c.transport(t.Worker)
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return Result{}, c.failed(ctx, transport, &a, err, t)
+	}
+	defer resp.Body.Close()
+	return c.read(ctx, transport, resp, t)
+}
+
+// request builds the HTTP request. The body is hidden behind a plain reader: for the
+// types it knows net/http sets GetBody, with which it may send a request again on
+// its own when a reused connection breaks.
+func (c *Client) request(ctx context.Context, t Task) (*http.Request, error) {
+	body := io.NopCloser(bytes.NewReader(t.Payload))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Worker+t.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(t.Payload))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderSubmission, t.Submission)
+	req.Header.Set(HeaderTask, strconv.Itoa(t.Index))
+	req.Header.Set(HeaderRemaining, strconv.FormatInt(t.Remaining.Milliseconds(), 10))
+	return req, nil
+}
+
+// failed classifies a request without a response.
+func (c *Client) failed(ctx context.Context, transport *http.Transport, a *attempt, err error, t Task) *verdict.Failure {
+	sent := a.seal()
+	var op *net.OpError
+	switch {
+	case !sent && errors.As(err, &op) && op.Op == "dial":
+		return verdict.Wrap(err, verdict.NotRun, verdict.DialFailed, "no connection to worker %s", t.Worker)
+	case !sent:
+		return verdict.Wrap(err, verdict.NotRun, verdict.NothingSent, "nothing was sent to worker %s", t.Worker)
+	case ctx.Err() != nil:
+		// No reply in time: the path may have gone silent for every connection made
+		// before now, so none of them is used again.
+		transport.CloseIdleConnections()
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.TaskTimeout, "worker %s did not answer in time", t.Worker)
+	default:
+		transport.CloseIdleConnections()
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ConnectionLost, "the connection to worker %s broke", t.Worker)
+	}
+}
+
+// read takes in a response.
+func (c *Client) read(ctx context.Context, transport *http.Transport, resp *http.Response, t Task) (Result, *verdict.Failure) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.config.MaxReplyBytes+1))
+	r := Result{Body: body, Leaving: resp.Header.Get(HeaderLeaving) == "1"}
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "1" && r.Leaving:
+		return r, verdict.New(verdict.NotRun, verdict.WorkerLeaving, "worker %s is leaving", t.Worker)
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "1":
+		return r, verdict.New(verdict.NotRun, verdict.WorkerRefused, "worker %s refused the task", t.Worker)
+	case err != nil && ctx.Err() != nil:
+		transport.CloseIdleConnections()
+		return r, verdict.Wrap(err, verdict.MayHaveRun, verdict.TaskTimeout, "worker %s did not finish its answer in time", t.Worker)
+	case err != nil:
+		return r, verdict.Wrap(err, verdict.MayHaveRun, verdict.ConnectionLost, "the answer of worker %s broke off", t.Worker)
+	case int64(len(body)) > c.config.MaxReplyBytes:
+		return r, verdict.New(verdict.MayHaveRun, verdict.ReplyTooLarge, "the answer of worker %s is over %d bytes", t.Worker, c.config.MaxReplyBytes)
+	case resp.StatusCode/100 != 2:
+		return r, verdict.New(verdict.MayHaveRun, verdict.TaskFailed, "worker %s answered %s", t.Worker, statusText(resp.StatusCode))
+	}
+	return r, nil
+}
+
+func statusText(code int) string {
+	return fmt.Sprintf("%d %s", code, http.StatusText(code))
+}
--- /dev/null
+++ b/internal/cli/dev.go
@@ -0,0 +1,212 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/internal/entry"
+	"github.com/lavendercleat/lavendercleat/internal/peer"
+	"github.com/lavendercleat/lavendercleat/internal/platform"
+	standinbackend "github.com/lavendercleat/lavendercleat/internal/standin/backend"
+	standinplatform "github.com/lavendercleat/lavendercleat/internal/standin/platform"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+const (
+	devDomain  = "dev"
+	devWorkers = 4
+	devSlots   = 8
+	devTeam    = "dev"
+	// devToken is the caller's token in dev, devOperatorToken the operator's.
+	devToken         = "dev-token"
+	devOperatorToken = "dev-operator-token"
+)
+
+// devCommand runs everything in one process.
+type devCommand struct {
+	Once bool `help:"Submit one sample job, print its answer and exit."`
+	Port int  `help:"Port of the caller interface on 127.0.0.1; the operator interface and metrics get the next two. 0 picks free ports." default:"7400"`
+}
+
+// Run runs dev, for one job or until a signal.
+func (c *devCommand) Run(s *streams, l *schema.LogSettings) error {
+	if c.Port < 0 || c.Port > 65530 {
+		return errors.Newf("--port is %d; accepted are 0 to 65530", c.Port)
+	}
+	var e *entry.Entry
+	app := newApp(s, l, standinStopTimeout,
+		fx.Provide(newDevPlatform, newDevFleet, newDevCredentials, c.settings, entry.New),
+		fx.Invoke(hookEntry),
+		fx.Populate(&e),
+	)
+	if c.Once {
+		return c.runOnce(app, &e, s)
+	}
+	return runDev(app, &e, s)
+}
+
+// runDev runs until a signal.
+func runDev(app *fx.App, e **entry.Entry, s *streams) error {
+	if err := startDev(app, e); err != nil {
+		return err
+	}
+	if err := printReady(s.out, *e); err != nil {
+		return err
+	}
+	<-app.Done()
+	return stopDev(app)
+}
+
+// runOnce submits the sample job and prints its answer.
+func (c *devCommand) runOnce(app *fx.App, e **entry.Entry, s *streams) error {
+	if err := startDev(app, e); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	caller := client.Client{URL: httpURL((*e).CallerAddress()), Token: devToken}
+	r, err := caller.Submit(ctx, sampleQuote())
+	if err == nil {
+		err = printAnswer(s.out, r.Answer)
+	}
+	return errors.CombineErrors(err, stopDev(app))
+}
+
+// startDev starts the application and waits until the entry is ready.
+func startDev(app *fx.App, e **entry.Entry) error {
+	if err := app.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	for !(*e).Ready() {
+		select {
+		case <-ctx.Done():
+			return errors.New("the entry did not become ready")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+func stopDev(app *fx.App) error {
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(ctx)
+}
+
+// devPlatform is the stand-in of the platform's service.
+type devPlatform struct {
+	url string
+}
+
+// newDevPlatform starts the stand-in with the workers and the sample configuration.
+func newDevPlatform(lc fx.Lifecycle, fleet *standinbackend.Fleet) (*devPlatform, error) {
+	server := standinplatform.NewServer()
+	server.SetVMs(devVMs(fleet))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	h := &http.Server{Handler: server, ReadHeaderTimeout: startTimeout}
+	go h.Serve(l)
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return h.Close() }})
+	p := &devPlatform{url: httpURL(l.Addr().(*net.TCPAddr).AddrPort())}
+	return p, p.writeConfig()
+}
+
+func (p *devPlatform) writeConfig() error {
+	doc := sampleConfig()
+	if err := config.Validate(doc); err != nil {
+		return err
+	}
+	b, err := proto.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(p.url)
+	defer client.Close()
+	_, err = client.CompareAndSwap(context.Background(), entry.ConfigKey, 0, b)
+	return err
+}
+
+func devVMs(fleet *standinbackend.Fleet) []*schema.Vm {
+	var vms []*schema.Vm
+	for i, a := range fleet.Addresses {
+		vms = append(vms, &schema.Vm{
+			Address:     a.String(),
+			Domain:      devDomain,
+			Rack:        fmt.Sprintf("rack-%d", i/2),
+			Role:        schema.VmRole_VM_ROLE_WORKER,
+			Slots:       devSlots,
+			Connections: 64,
+			Resources:   &schema.Resources{Cpus: 64, MemoryMb: 256 << 10},
+		})
+	}
+	return vms
+}
+
+func newDevFleet(lc fx.Lifecycle) (*standinbackend.Fleet, error) {
+	f, err := standinbackend.Listen(schema.BackendSettings{
+		Address:     netip.MustParseAddrPort("127.0.0.1:0"),
+		Count:       devWorkers,
+		Slots:       devSlots,
+		Connections: 64,
+		RunTime:     50 * time.Millisecond,
+	})
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return f.Close() }})
+	return f, nil
+}
+
+// newDevCredentials makes keys and certificates in memory.
+func newDevCredentials() (peer.Credentials, error) {
+	p, err := peer.Generate()
+	if err != nil {
+		return peer.Credentials{}, err
+	}
+	return p.Credentials()
+}
+
+// settings returns the entry's settings.
+func (c *devCommand) settings(p *devPlatform) schema.EntrySettings {
+	port := func(offset int) netip.AddrPort {
+		if c.Port == 0 || c.Once {
+			return netip.MustParseAddrPort("127.0.0.1:0")
+		}
+		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(c.Port+offset))
+	}
+	return schema.EntrySettings{
+		CallerAddress:        port(0),
+		OperatorAddress:      port(1),
+		MetricsAddress:       port(2),
+		PeerAddress:          netip.MustParseAddrPort("127.0.0.1:0"),
+		Domain:               devDomain,
+		PlatformUrl:          p.url,
+		Operators:            []string{"dev:" + config.HashToken(devOperatorToken)},
+		HeartbeatInterval:    500 * time.Millisecond,
+		PeerTimeout:          2 * time.Second,
+		IdentifierWindow:     5 * time.Minute,
+		AnswerRetention:      5 * time.Minute,
+		AnswerBytes:          128 << 20,
+		StopTimeout:          5 * time.Second,
+		WorkerIdleTimeout:    time.Second,
+		WorkerDialTimeout:    time.Second,
+		WorkerSilenceTimeout: 4 * time.Second,
+	}
+}
--- /dev/null
+++ b/internal/cli/dev_test.go
@@ -0,0 +1,48 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// dev --once prints one whole answer: a result for every task, in the order of the
+// tasks, each from the task's own payload.
+func TestDevOncePrintsWholeAnswer(t *testing.T) {
+	var out, log bytes.Buffer
+	code := Main([]string{"dev", "--once"}, &out, &log)
+	assert.Equal(t, code, exitOK, log.String())
+
+	var a schema.Answer
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &a))
+	assert.Equal(t, a.Outcome, client.Complete)
+	job := sampleQuote()
+	assert.Equal(t, len(a.Results), len(job.Tasks))
+	for i, raw := range a.Results {
+		var r struct {
+			Task    int
+			Payload json.RawMessage
+		}
+		assert.NilError(t, json.Unmarshal(raw, &r))
+		assert.Equal(t, r.Task, i)
+		var got, want bytes.Buffer
+		assert.NilError(t, json.Compact(&got, r.Payload))
+		assert.NilError(t, json.Compact(&want, job.Tasks[i].Payload))
+		assert.Equal(t, got.String(), want.String())
+	}
+}
+
+// A wrong setting ends the command before anything is done; the error names the flag
+// and the accepted values.
+func TestWrongSettingNamesFlag(t *testing.T) {
+	var out, log bytes.Buffer
+	code := Main([]string{"dev", "--once", "--port", "70000"}, &out, &log)
+	assert.Equal(t, code, exitFailure)
+	assert.Equal(t, out.Len(), 0)
+	assert.Assert(t, bytes.Contains(log.Bytes(), []byte("--port is 70000; accepted are 0 to 65530")), log.String())
+}
--- /dev/null
+++ b/internal/cli/entry.go
@@ -0,0 +1,31 @@
+package cli
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/lavendercleat/lavendercleat/internal/entry"
+	"github.com/lavendercleat/lavendercleat/internal/peer"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// entryCommand runs the daemon of an entry VM.
+type entryCommand struct {
+	schema.EntrySettings
+}
+
+// Run runs the daemon until SIGTERM or SIGINT.
+func (c *entryCommand) Run(s *streams, l *schema.LogSettings) error {
+	stop := c.StopDelay + c.StopTimeout + stopMargin
+	return runApp(newApp(s, l, stop,
+		fx.Supply(c.EntrySettings),
+		fx.Provide(
+			func(e schema.EntrySettings) (peer.Credentials, error) {
+				return peer.LoadCredentials(e.CaFile, e.CertFile, e.KeyFile)
+			},
+			entry.New,
+		),
+		fx.Invoke(hookEntry, func(lc fx.Lifecycle, e *entry.Entry) {
+			lc.Append(fx.StartHook(func() error { return printReady(s.out, e) }))
+		}),
+	))
+}
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	standinbackend "github.com/lavendercleat/lavendercleat/internal/standin/backend"
+	standinplatform "github.com/lavendercleat/lavendercleat/internal/standin/platform"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// standinStopTimeout bounds the stop of a stand-in.
+const standinStopTimeout = 15 * time.Second
+
+// standinCommand runs stand-ins.
+type standinCommand struct {
+	Platform platformCommand `cmd:"" help:"Run a stand-in of the platform's service."`
+	Backend  backendCommand  `cmd:"" help:"Run stand-ins of backend servers."`
+}
+
+// platformCommand runs the stand-in of the platform's service.
+type platformCommand struct {
+	schema.PlatformSettings
+}
+
+// standinReady is the first line on a stand-in's standard output.
+type standinReady struct {
+	Addresses []netip.AddrPort `json:"addresses"`
+}
+
+// Run runs the stand-in until a signal.
+func (c *platformCommand) Run(s *streams, l *schema.LogSettings) error {
+	h := &http.Server{Handler: standinplatform.NewServer(), ReadHeaderTimeout: startTimeout}
+	start := func(context.Context) error {
+		listener, err := net.Listen("tcp", c.Address.String())
+		if err != nil {
+			return err
+		}
+		go h.Serve(listener)
+		at := listener.Addr().(*net.TCPAddr).AddrPort()
+		return printJSON(s.out, standinReady{Addresses: []netip.AddrPort{at}})
+	}
+	stop := func(context.Context) error { return h.Close() }
+	return runApp(newApp(s, l, standinStopTimeout, fx.Invoke(func(lc fx.Lifecycle) {
+		lc.Append(fx.Hook{OnStart: start, OnStop: stop})
+	})))
+}
+
+// backendCommand runs stand-ins of backend servers.
+type backendCommand struct {
+	schema.BackendSettings
+}
+
+// Run runs the stand-ins until a signal.
+func (c *backendCommand) Run(s *streams, l *schema.LogSettings) error {
+	var fleet *standinbackend.Fleet
+	start := func(context.Context) (err error) {
+		if fleet, err = standinbackend.Listen(c.BackendSettings); err != nil {
+			return err
+		}
+		return printJSON(s.out, standinReady{Addresses: fleet.Addresses})
+	}
+	stop := func(context.Context) error { return fleet.Close() }
+	return runApp(newApp(s, l, standinStopTimeout, fx.Invoke(func(lc fx.Lifecycle) {
+		lc.Append(fx.Hook{OnStart: start, OnStop: stop})
+	})))
+}
--- /dev/null
+++ b/internal/entry/dispatcher.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/internal/backend"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
+	"github.com/lavendercleat/lavendercleat/sched"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// dispatcher carries out the scheduler's commands. The scheduler and the jobs are
+// under one lock, held for decisions only, never during I/O.
+type dispatcher struct {
+	clock   *clock.Clock
+	client  *backend.Client
+	metrics *Metrics
+	// onLeaving is told of workers that say that they are leaving.
+	onLeaving func(worker string)
+
+	mu    sync.Mutex
+	sched *sched.Scheduler
+	jobs  map[sched.JobKey]*jobRun
+	calls map[callKey]context.CancelFunc
+	next  sched.JobKey
+}
+
+// callKey identifies a task that is being run.
+type callKey struct {
+	job  sched.JobKey
+	task int
+}
+
+// jobRun is a job with its payloads and results.
+type jobRun struct {
+	submission  string
+	path        string
+	deadline    time.Duration
+	taskTimeout time.Duration
+	payloads    []json.RawMessage
+	results     []json.RawMessage
+	// finish is called once, with the results or the failure.
+	finish func([]json.RawMessage, *verdict.Failure)
+}
+
+func newDispatcher(c *clock.Clock, client *backend.Client, m *Metrics) *dispatcher {
+	return &dispatcher{
+		clock:     c,
+		client:    client,
+		metrics:   m,
+		onLeaving: func(string) {},
+		sched:     sched.New(sched.DefaultConfig()),
+		jobs:      make(map[sched.JobKey]*jobRun),
+		calls:     make(map[callKey]context.CancelFunc),
+	}
+}
+
+// submit hands a job to the scheduler; finish is called exactly once unless the job
+// is refused.
+func (d *dispatcher) submit(j sched.Job, r *jobRun) (sched.JobKey, *verdict.Failure) {
+	var refusal *verdict.Failure
+	d.step(func(now time.Duration) {
+		d.next++
+		j.Key = d.next
+		d.jobs[j.Key] = r
+		refusal = d.sched.Submit(now, j)
+		if refusal != nil {
+			delete(d.jobs, j.Key)
+		}
+	})
+	return j.Key, refusal
+}
+
+// cancel ends a job for its caller.
+func (d *dispatcher) cancel(key sched.JobKey) {
+	d.step(func(now time.Duration) { d.sched.Cancel(now, key) })
+}
+
+// tick lets the scheduler act on the time.
+func (d *dispatcher) tick() {
+	d.step(func(now time.Duration) { d.sched.Tick(now) })
+}
+
+// load returns the scheduler's load.
+func (d *dispatcher) load() sched.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.Load(d.clock.Now())
+}
+
+// step runs one event under the lock and carries out the commands that follow.
+func (d *dispatcher) step(event func(now time.Duration)) {
+	d.mu.Lock()
+	event(d.clock.Now())
+	actions := d.commands(d.sched.Ready())
+	d.mu.Unlock()
+	for _, act := range actions {
+		act()
+	}
+}
+
+// commands turns the scheduler's commands into what is done without the lock.
+func (d *dispatcher) commands(r sched.Ready) []func() {
+	var actions []func()
+	for _, st := range r.Starts {
+		ctx, j := d.begin(st)
+		if j != nil {
+			go d.run(ctx, st, j)
+		}
+	}
+	for _, a := range r.Aborts {
+		if cancel := d.calls[callKey{a.Job, a.Task}]; cancel != nil {
+			actions = append(actions, cancel)
+		}
+	}
+	for _, e := range r.Ended {
+		if j := d.jobs[e.Job]; j != nil {
+			delete(d.jobs, e.Job)
+			d.metrics.ended(e.Failure)
+			actions = append(actions, func() { j.finish(j.results, e.Failure) })
+		}
+	}
+	return actions
+}
+
+// begin prepares the call of a task.
+func (d *dispatcher) begin(st sched.Start) (context.Context, *jobRun) {
+	j := d.jobs[st.Job]
+	if j == nil {
+		return nil, nil
+	}
+	timeout := j.deadline - d.clock.Now()
+	if j.taskTimeout > 0 {
+		timeout = min(timeout, j.taskTimeout)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	d.calls[callKey{st.Job, st.Task}] = cancel
+	return ctx, j
+}
+
+// run calls the worker and reports the outcome.
+func (d *dispatcher) run(ctx context.Context, st sched.Start, j *jobRun) {
+	res, failure := d.call(ctx, st, j)
+	if failure != nil && failure.Verdict == verdict.NotRun {
+		d.metrics.retried(failure.Reason)
+	}
+	if res.Leaving {
+		d.onLeaving(st.Worker)
+	}
+	d.step(func(now time.Duration) {
+		key := callKey{st.Job, st.Task}
+		d.calls[key]()
+		delete(d.calls, key)
+		// A job that has ended hands out its results: a late one must not write there.
+		if failure == nil && d.jobs[st.Job] == j {
+			j.results[st.Task] = res.Body
+		}
+		d.sched.Done(now, st, sched.Outcome{Failure: failure, Leaving: res.Leaving})
+	})
+}
+
+// call sends a task to its worker.
+func (d *dispatcher) call(ctx context.Context, st sched.Start, j *jobRun) (backend.Result, *verdict.Failure) {
+	// The process may have been frozen between the decision and here. Nothing starts
+	// after the deadline: the caller no longer waits and may have submitted it again.
+	remaining := j.deadline - d.clock.Now()
+	if remaining <= 0 {
+		return backend.Result{}, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline passed before the start")
+	}
+	d.metrics.started()
+	res, failure := d.client.Do(ctx, backend.Task{
+		Worker:     st.Worker,
+		Path:       j.path,
+		Submission: j.submission,
+		Index:      st.Task,
+		Remaining:  remaining,
+		Payload:    j.payloads[st.Task],
+	})
+	if failure == nil && !json.Valid(res.Body) {
+		res.Body, _ = json.Marshal(string(res.Body)) // a string always encodes
+	}
+	return res, failure
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lavendercleat/lavendercleat/internal/backend"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
+	"github.com/lavendercleat/lavendercleat/internal/peer"
+	"github.com/lavendercleat/lavendercleat/internal/platform"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/submission"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+const (
+	// tickInterval is how often the scheduler looks at the time.
+	tickInterval = 10 * time.Millisecond
+	// sweepInterval is how often ended submissions are dropped.
+	sweepInterval = time.Second
+	// maxReplyBytes bounds one task's result.
+	maxReplyBytes = 8 << 20
+)
+
+// Entry is one entry daemon.
+type Entry struct {
+	settings schema.EntrySettings
+	log      logrus.FieldLogger
+	clock    *clock.Clock
+	metrics  *Metrics
+	state    *state
+	workers  *workers
+	members  *membership
+	router   *router
+	callers  *callers
+	syncer   *syncer
+	peers    *peers
+	backend  *backend.Client
+	client   *peer.Client
+	platform *platform.Client
+	servers  servers
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// New puts an entry together; Start starts it.
+func New(c schema.EntrySettings, cred peer.Credentials, log *logrus.Logger) (*Entry, error) {
+	if err := CheckSettings(c); err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		settings: c,
+		log:      log,
+		clock:    clock.New(),
+		metrics:  NewMetrics(),
+		state:    newState(),
+		client:   peer.NewClient(cred, listenAddress(c).Addr()),
+		platform: platform.NewClient(c.PlatformUrl),
+		backend: backend.NewClient(backend.Config{
+			IdleTimeout:    c.WorkerIdleTimeout,
+			DialTimeout:    c.WorkerDialTimeout,
+			SilenceTimeout: c.WorkerSilenceTimeout,
+			MaxReplyBytes:  maxReplyBytes,
+		}),
+	}
+	e.servers.cred = cred
+	return e, nil
+}
+
+// listenAddress returns the address to listen on for peers.
+func listenAddress(c schema.EntrySettings) netip.AddrPort {
+	if c.PeerListen.IsValid() {
+		return c.PeerListen
+	}
+	return c.PeerAddress
+}
+
+// assemble connects the parts; the peer address must be known.
+func (e *Entry) assemble(self netip.AddrPort) {
+	minter := submission.NewMinter(self)
+	d := newDispatcher(e.clock, e.backend, e.metrics)
+	process := member.Process{Address: self, Incarnation: minter.Incarnation()}
+	e.syncer = &syncer{state: e.state, platform: e.platform, client: e.client, log: e.log, metrics: e.metrics}
+	e.members = e.newMembership(process)
+	e.workers = &workers{
+		state: e.state, members: e.members, dispatcher: d, client: e.backend,
+		domain: e.settings.Domain, leaving: make(map[string]bool),
+	}
+	subs := newSubmissions(e, minter, d)
+	e.router = &router{
+		clock: e.clock, minter: minter, submissions: subs, members: e.members,
+		client: e.client, metrics: e.metrics,
+	}
+	e.callers = &callers{router: e.router, state: e.state, notReady: e.notReady}
+	e.peers = &peers{router: e.router, members: e.members, syncer: e.syncer, status: e.Status}
+	d.onLeaving = func(worker string) { e.workers.markLeaving(worker) }
+	e.state.subscribe(e.refresh)
+	e.publishGauges()
+}
+
+func (e *Entry) newMembership(self member.Process) *membership {
+	return &membership{
+		clock:    e.clock,
+		client:   e.client,
+		log:      e.log,
+		metrics:  e.metrics,
+		interval: e.settings.HeartbeatInterval,
+		self:     self,
+		domain:   e.settings.Domain,
+		view: member.NewView(member.Config{
+			Self:        self.Address,
+			Incarnation: self.Incarnation,
+			Domain:      e.settings.Domain,
+			Timeout:     e.settings.PeerTimeout,
+		}),
+		onChange:    func() { e.workers.update() },
+		onHeartbeat: e.heard,
+		fill:        e.fillHeartbeat,
+	}
+}
+
+// heard acts on what a peer's heartbeat tells.
+func (e *Entry) heard(h *schema.Heartbeat) {
+	e.workers.markLeaving(h.GetLeavingWorkers()...)
+	e.wg.Go(func() { e.syncer.peerAhead(context.Background(), h) })
+}
+
+// fillHeartbeat adds what this entry knows.
+func (e *Entry) fillHeartbeat(h *schema.Heartbeat) {
+	h.ConfigRevision = e.state.config().Revision()
+	h.VmListVersion = e.state.vmList().GetVersion()
+	h.FreeSlots = uint32(e.workers.dispatcher.load().Free)
+	h.LeavingWorkers = e.workers.leavingList()
+}
+
+// refresh acts on a change of the configuration or the VM list.
+func (e *Entry) refresh() {
+	e.members.setCandidates(e.state.vmList(), e.settings.SeedPeers)
+	e.workers.update()
+}
+
+func (e *Entry) publishGauges() {
+	load := e.workers.dispatcher.load
+	e.metrics.gauge("running_tasks", func() float64 { return float64(load().Running) })
+	e.metrics.gauge("waiting_tasks", func() float64 { return float64(load().Waiting) })
+	e.metrics.gauge("slots", func() float64 { return float64(load().Slots) })
+	e.metrics.gauge("free_slots", func() float64 { return float64(load().Free) })
+	e.metrics.gauge("members", func() float64 { return float64(len(e.members.members())) })
+	e.metrics.gauge("config_revision", func() float64 { return float64(e.state.config().Revision()) })
+	e.metrics.gauge("submissions", func() float64 { return float64(e.router.submissions.table.Len()) })
+	e.metrics.gauge("answer_bytes", func() float64 { return float64(e.router.submissions.table.Bytes()) })
+}
+
+// notReady says why new work is refused, nil when it is not.
+func (e *Entry) notReady() *verdict.Failure {
+	if e.stopping.Load() {
+		return verdict.New(verdict.NotRun, verdict.Stopping, "this entry is stopping; ask another").After(time.Second)
+	}
+	if why := e.state.lacks(); why != "" {
+		return verdict.New(verdict.NotRun, verdict.NotReady, "%s", why).After(time.Second)
+	}
+	if e.state.config().Retired(e.settings.Domain) {
+		return verdict.New(verdict.NotRun, verdict.DomainRetired, "failure domain %s is retired", e.settings.Domain).After(time.Second)
+	}
+	return nil
+}
+
+// Ready tells whether the entry takes new work.
+func (e *Entry) Ready() bool { return e.notReady() == nil }
+
+// Status describes the entry.
+func (e *Entry) Status() *schema.StatusReply {
+	load := e.workers.dispatcher.load()
+	s := &schema.StatusReply{
+		Address:       e.members.self.Address.String(),
+		Incarnation:   e.members.self.Incarnation,
+		Domain:        e.settings.Domain,
+		VmListVersion: e.state.vmList().GetVersion(),
+		RunningTasks:  uint32(load.Running),
+		WaitingTasks:  uint32(load.Waiting),
+		Slots:         uint32(load.Slots),
+		Ready:         true,
+	}
+	s.ConfigRevision = e.state.config().Revision()
+	if f := e.notReady(); f != nil {
+		s.Ready = false
+		s.NotReadyBecause = f.Message
+	}
+	return s
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// Metrics holds the counters of one entry.
+type Metrics struct {
+	set *metrics.Set
+}
+
+// NewMetrics returns counters at zero.
+func NewMetrics() *Metrics { return &Metrics{set: metrics.NewSet()} }
+
+// Write writes all metrics in the Prometheus text format.
+func (m *Metrics) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (m *Metrics) count(name, label, value string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("lavendercleat_%s_total{%s=%q}", name, label, value)).Inc()
+}
+
+// refused counts a request that ended without a run of its own, by reason.
+func (m *Metrics) refused(r verdict.Reason) { m.count("refusals", "reason", string(r)) }
+
+// retried counts a task that is started once more, by reason.
+func (m *Metrics) retried(r verdict.Reason) { m.count("retries", "reason", string(r)) }
+
+// ended counts a job by its outcome, and a failed one by its reason.
+func (m *Metrics) ended(f *verdict.Failure) {
+	if f == nil {
+		m.count("jobs", "outcome", "complete")
+		return
+	}
+	m.count("jobs", "outcome", "failed")
+	m.count("job_failures", "reason", string(f.Reason))
+}
+
+// message counts a control message between entries, by kind.
+func (m *Metrics) message(kind string) { m.count("peer_messages", "kind", kind) }
+
+// started counts a task sent to a worker.
+func (m *Metrics) started() { m.set.GetOrCreateCounter("lavendercleat_task_starts_total").Inc() }
+
+// gauge publishes a value that is read when the metrics are.
+func (m *Metrics) gauge(name string, read func() float64) {
+	m.set.GetOrCreateGauge("lavendercleat_"+name, read)
+}
--- /dev/null
+++ b/internal/entry/monitor.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+)
+
+// monitor serves /metrics, /healthz and /readyz.
+func (e *Entry) monitor() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	g.GET("/metrics", func(c *gin.Context) { e.metrics.Write(c.Writer) })
+	g.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	g.GET("/readyz", func(c *gin.Context) {
+		if f := e.notReady(); f != nil {
+			c.String(http.StatusServiceUnavailable, f.Message+"\n")
+			return
+		}
+		c.String(http.StatusOK, "ready\n")
+	})
+	return g
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// peers answers the requests of other entries.
+type peers struct {
+	router  *router
+	members *membership
+	syncer  *syncer
+	status  func() *schema.StatusReply
+}
+
+// ServePeer implements peer.Handler.
+func (p *peers) ServePeer(ctx context.Context, r *schema.Request) *schema.Reply {
+	switch b := r.GetBody().(type) {
+	case *schema.Request_Forward:
+		return &schema.Reply{Forward: p.forward(ctx, b.Forward)}
+	case *schema.Request_Heartbeat:
+		p.members.take(b.Heartbeat)
+		return &schema.Reply{Heartbeat: p.members.heartbeat()}
+	case *schema.Request_State:
+		return &schema.Reply{State: p.syncer.stateFor(b.State)}
+	case *schema.Request_Status:
+		return &schema.Reply{Status: p.status()}
+	}
+	return &schema.Reply{Error: "unknown request"}
+}
+
+// forward serves a caller's request that another entry took in.
+func (p *peers) forward(ctx context.Context, f *schema.Forward) *schema.ForwardReply {
+	r := p.router.serve(ctx, call{
+		method:    f.GetMethod(),
+		id:        f.GetId(),
+		team:      f.GetTeam(),
+		body:      f.GetBody(),
+		forwarded: true,
+	})
+	return &schema.ForwardReply{
+		Status:           int32(r.status),
+		RetryAfterMs:     r.retryAfter.Milliseconds(),
+		Body:             r.body,
+		WrongIncarnation: r.gone,
+	}
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lavendercleat/lavendercleat/internal/peer"
+)
+
+const (
+	// readHeaderTimeout and readTimeout bound slow-sending callers.
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// servers are the entry's listening sockets.
+type servers struct {
+	cred     peer.Credentials
+	peer     *peer.Server
+	http     []*http.Server
+	caller   netip.AddrPort
+	operator netip.AddrPort
+	metrics  netip.AddrPort
+}
+
+// Start opens the sockets and starts the background work.
+func (e *Entry) Start(context.Context) error {
+	gate := &lateHandler{ready: make(chan struct{})}
+	server, err := peer.Listen(listenAddress(e.settings), e.servers.cred, gate)
+	if err != nil {
+		return errors.Wrap(err, "--peer-address")
+	}
+	e.servers.peer = server
+	self := e.settings.PeerAddress
+	if self.Port() == 0 {
+		self = server.Address()
+	}
+	e.assemble(self)
+	gate.set(e.peers)
+	if err := e.listenHTTP(); err != nil {
+		return errors.CombineErrors(err, e.close())
+	}
+	e.background()
+	e.log.WithFields(logrus.Fields{
+		"event": "started", "domain": e.settings.Domain, "peer": self, "callers": e.servers.caller,
+		"operators": e.servers.operator, "metrics": e.servers.metrics,
+	}).Info("entry started")
+	return nil
+}
+
+func (e *Entry) listenHTTP() error {
+	var err error
+	if e.servers.caller, err = e.serveHTTP(e.settings.CallerAddress, e.callers.handler()); err != nil {
+		return errors.Wrap(err, "--caller-address")
+	}
+	if e.servers.operator, err = e.serveHTTP(e.settings.OperatorAddress, e.operators()); err != nil {
+		return errors.Wrap(err, "--operator-address")
+	}
+	if e.servers.metrics, err = e.serveHTTP(e.settings.MetricsAddress, e.monitor()); err != nil {
+		return errors.Wrap(err, "--metrics-address")
+	}
+	return nil
+}
+
+func (e *Entry) serveHTTP(at netip.AddrPort, h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	e.servers.http = append(e.servers.http, s)
+	go s.Serve(l)
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// background starts the loops that run until the entry stops.
+func (e *Entry) background() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.members.setCandidates(e.state.vmList(), e.settings.SeedPeers)
+	e.wg.Go(func() { e.syncer.watchConfig(ctx) })
+	e.wg.Go(func() { e.syncer.watchVMs(ctx) })
+	e.wg.Go(func() { e.members.run(ctx) })
+	e.wg.Go(func() { every(ctx, tickInterval, e.router.submissions.dispatcher.tick) })
+	e.wg.Go(func() { every(ctx, sweepInterval, e.sweep) })
+}
+
+// every calls fn at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, fn func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			fn()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) sweep() { e.router.submissions.table.Sweep(e.clock.Now()) }
+
+// CallerAddress returns the address of the caller interface.
+func (e *Entry) CallerAddress() netip.AddrPort { return e.servers.caller }
+
+// OperatorAddress returns the address of the operator interface.
+func (e *Entry) OperatorAddress() netip.AddrPort { return e.servers.operator }
+
+// MetricsAddress returns the address of /metrics.
+func (e *Entry) MetricsAddress() netip.AddrPort { return e.servers.metrics }
+
+// PeerAddress returns the address of the peer interface.
+func (e *Entry) PeerAddress() netip.AddrPort { return e.members.self.Address }
+
+// PeerListen returns the address on which the entry listens for peers.
+func (e *Entry) PeerListen() netip.AddrPort { return e.servers.peer.Address() }
+
+// Stop stops the entry gracefully: readiness goes off first, requests are still
+// served while the balancer takes notice, then jobs in flight are finished.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.log.WithField("event", "stopping").Info("planned stop")
+	wait(ctx, e.settings.StopDelay)
+	ctx, cancel := context.WithTimeout(ctx, e.settings.StopTimeout)
+	defer cancel()
+	var err error
+	for _, s := range e.servers.http {
+		err = errors.CombineErrors(err, s.Shutdown(ctx))
+	}
+	err = errors.CombineErrors(err, e.close())
+	e.log.WithField("event", "stopped").Info("entry stopped")
+	return err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// close breaks off everything.
+func (e *Entry) close() error {
+	if e.cancel != nil {
+		e.cancel()
+	}
+	var err error
+	for _, s := range e.servers.http {
+		err = errors.CombineErrors(err, s.Close())
+	}
+	e.client.Close()
+	err = errors.CombineErrors(err, e.servers.peer.Close())
+	e.backend.Close()
+	e.platform.Close()
+	e.wg.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// Client calls peers, over one connection per peer.
+type Client struct {
+	tls *tls.Config
+	// local is the address that connections are made from.
+	local netip.Addr
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*link
+}
+
+// link is the connection to one peer; its lock lets one call make it for all.
+type link struct {
+	mu   sync.Mutex
+	conn *quic.Conn
+}
+
+// NewClient returns a client without connections, which it will make from the local
+// address.
+func NewClient(cred Credentials, local netip.Addr) *Client {
+	return &Client{tls: cred.config(), local: local, peers: make(map[netip.AddrPort]*link)}
+}
+
+func (c *Client) link(to netip.AddrPort) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.peers[to]
+	if l == nil {
+		l = &link{}
+		c.peers[to] = l
+	}
+	return l
+}
+
+// connect returns a live connection to the peer. Each is dialed from a socket of its
+// own: where a middle box has lost track of the old path, the new one works.
+func (c *Client) connect(ctx context.Context, to netip.AddrPort) (*quic.Conn, error) {
+	l := c.link(to)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.conn.Context().Err() == nil {
+		return l.conn, nil
+	}
+	conn, err := c.dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	l.conn = conn
+	return conn, nil
+}
+
+// dial makes a connection from a new socket, which is closed with the connection.
+func (c *Client) dial(ctx context.Context, to netip.AddrPort) (*quic.Conn, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.local, 0)))
+	if err != nil {
+		return nil, err
+	}
+	t := &quic.Transport{Conn: socket}
+	conn, err := t.Dial(ctx, net.UDPAddrFromAddrPort(to), c.tls, quicConfig())
+	if err != nil {
+		return nil, errors.CombineErrors(err, closeTransport(t, socket))
+	}
+	context.AfterFunc(conn.Context(), func() { _ = closeTransport(t, socket) })
+	return conn, nil
+}
+
+func closeTransport(t *quic.Transport, socket *net.UDPConn) error {
+	return errors.CombineErrors(t.Close(), socket.Close())
+}
+
+// Call sends a request and waits for the reply. A failure is NotRun when no
+// connection could be made, so that the request can't have reached the peer.
+func (c *Client) Call(ctx context.Context, to netip.AddrPort, r *schema.Request) (*schema.Reply, *verdict.Failure) {
+	conn, err := c.connect(ctx, to)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.DialFailed, "no connection to entry %s", to)
+	}
+	st, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.NothingSent, "no stream to entry %s", to)
+	}
+	stop := context.AfterFunc(ctx, func() {
+		st.CancelRead(0)
+		st.CancelWrite(0)
+	})
+	defer stop()
+	reply, err := exchange(st, r)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ConnectionLost, "no reply of entry %s", to)
+	}
+	if e := reply.GetError(); e != "" {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.Internal, "entry %s answered: %s", to, e)
+	}
+	return reply, nil
+}
+
+func exchange(st *quic.Stream, r *schema.Request) (*schema.Reply, error) {
+	if err := writeMessage(st, r); err != nil {
+		return nil, err
+	}
+	if err := st.Close(); err != nil {
+		return nil, err
+	}
+	reply := new(schema.Reply)
+	if err := readMessage(st, reply); err != nil {
+		return nil, errors.Wrap(err, "reading the reply")
+	}
+	return reply, nil
+}
+
+// Forget closes the connections to peers that are not in keep.
+func (c *Client) Forget(keep map[netip.AddrPort]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, l := range c.peers {
+		if keep[a] {
+			continue
+		}
+		delete(c.peers, a)
+		go l.close()
+	}
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.CloseWithError(0, "peer no longer listed")
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() { c.Forget(nil) }
--- /dev/null
+++ b/internal/peer/tls.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// protocol is the ALPN name of the peer protocol and its version.
+const protocol = "lavendercleat-peer/1"
+
+// serverName is the name in every entry's certificate: entries are known by the
+// authority that signed them, not by their changing IP numbers.
+const serverName = "lavendercleat-entry"
+
+// Credentials prove an entry to its peers.
+type Credentials struct {
+	Certificate tls.Certificate
+	Authority   *x509.CertPool
+}
+
+// LoadCredentials reads PEM files.
+func LoadCredentials(caFile, certFile, keyFile string) (Credentials, error) {
+	ca, err := os.ReadFile(caFile)
+	if err != nil {
+		return Credentials{}, errors.Wrap(err, "--ca-file")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return Credentials{}, errors.Newf("--ca-file: no PEM certificate in %s", caFile)
+	}
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return Credentials{}, errors.Wrap(err, "--cert-file, --key-file")
+	}
+	return Credentials{Certificate: cert, Authority: pool}, nil
+}
+
+// config returns the TLS settings, alike for both ends.
+func (c Credentials) config() *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocol},
+		ServerName:   serverName,
+		Certificates: []tls.Certificate{c.Certificate},
+		RootCAs:      c.Authority,
+		ClientCAs:    c.Authority,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}
+}
+
+// PEM holds a generated authority and certificate.
+type PEM struct {
+	CA   []byte
+	Cert []byte
+	Key  []byte
+}
+
+// certificateLifetime of generated certificates, which serve dev and tests.
+const certificateLifetime = 10 * 365 * 24 * time.Hour
+
+// Generate makes an authority and a certificate signed by it, for dev and tests.
+func Generate() (PEM, error) {
+	caKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return PEM{}, err
+	}
+	now := time.Now()
+	ca := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "lavendercleat dev authority"},
+		NotBefore:             now.Add(-time.Hour),
+		NotAfter:              now.Add(certificateLifetime),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	caDER, err := x509.CreateCertificate(rand.Reader, ca, ca, &caKey.PublicKey, caKey)
+	if err != nil {
+		return PEM{}, err
+	}
+	leaf := &x509.Certificate{
+		SerialNumber: big.NewInt(2),
+		Subject:      pkix.Name{CommonName: serverName},
+		DNSNames:     []string{serverName},
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore:    ca.NotBefore,
+		NotAfter:     ca.NotAfter,
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return PEM{}, err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, leaf, ca, &key.PublicKey, caKey)
+	if err != nil {
+		return PEM{}, err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return PEM{}, err
+	}
+	return PEM{
+		CA:   pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: caDER}),
+		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}),
+	}, nil
+}
+
+// Credentials returns the generated credentials.
+func (p PEM) Credentials() (Credentials, error) {
+	cert, err := tls.X509KeyPair(p.Cert, p.Key)
+	if err != nil {
+		return Credentials{}, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(p.CA)
+	return Credentials{Certificate: cert, Authority: pool}, nil
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,177 @@
+// Package platform talks to the platform's service: the key-value store that holds
+// the configuration, and the list of VMs.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Errors of the platform's service.
+var (
+	// ErrNotFound: the key has no value.
+	ErrNotFound = errors.New("key not found")
+	// ErrConflict: the key's revision is not the expected one; nothing was written.
+	ErrConflict = errors.New("revision conflict")
+	// ErrUnavailable: no answer, or an error. A write may have taken effect.
+	ErrUnavailable = errors.New("platform unavailable")
+)
+
+// Paths and parameters of the service.
+const (
+	PathKeys  = "/v1/keys/"
+	PathVMs   = "/v1/vms"
+	ParamPrev = "prev"
+	// ParamAfter asks to wait for a revision above the given one.
+	ParamAfter = "after"
+	// ParamWait is the longest wait in milliseconds.
+	ParamWait = "wait_ms"
+	// MaxValue is the largest value in bytes.
+	MaxValue = 1 << 20
+)
+
+// Value is a value with the revision of its key. The revision counts the writes of
+// the key from 1.
+type Value struct {
+	Revision uint64 `json:"revision"`
+	Value    []byte `json:"value"`
+}
+
+// Client is a client of the platform's service.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the service at a base URL.
+func NewClient(base string) *Client {
+	t := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4}
+	return &Client{base: base, http: &http.Client{Transport: t}}
+}
+
+const (
+	// idleTimeout keeps connections only while they are in use, as they may go silent.
+	idleTimeout = 5 * time.Second
+	// watchSlack is the time beyond a watch's wait after which its connection counts
+	// as silent.
+	watchSlack = 2 * time.Second
+)
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get reads a key.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	return c.get(ctx, key, url.Values{})
+}
+
+// Watch waits up to wait for a revision of the key that differs from the given one
+// and returns the value; ok is false when there was none. A store that came back
+// older shows as a lower revision, so a difference either way ends the wait.
+func (c *Client) Watch(ctx context.Context, key string, revision uint64, wait time.Duration) (v Value, ok bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	v, err = c.get(ctx, key, watchParams(revision, wait))
+	return v, err == nil && v.Revision != revision, err
+}
+
+func watchParams(after uint64, wait time.Duration) url.Values {
+	return url.Values{
+		ParamAfter: {strconv.FormatUint(after, 10)},
+		ParamWait:  {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+}
+
+func (c *Client) get(ctx context.Context, key string, q url.Values) (Value, error) {
+	var v Value
+	b, err := c.do(ctx, http.MethodGet, PathKeys+key+"?"+q.Encode(), nil)
+	if err != nil {
+		return v, err
+	}
+	if err := json.Unmarshal(b, &v); err != nil {
+		return v, errors.Mark(errors.Wrap(err, "reading the platform's answer"), ErrUnavailable)
+	}
+	return v, nil
+}
+
+// CompareAndSwap writes a key if its revision is prev (0: it has no value) and
+// returns the new revision. ErrConflict proves that nothing was written;
+// ErrUnavailable leaves it open.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte) (uint64, error) {
+	q := url.Values{ParamPrev: {strconv.FormatUint(prev, 10)}}
+	b, err := c.do(ctx, http.MethodPut, PathKeys+key+"?"+q.Encode(), value)
+	if err != nil {
+		return 0, err
+	}
+	var v Value
+	if err := json.Unmarshal(b, &v); err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "reading the platform's answer"), ErrUnavailable)
+	}
+	return v.Revision, nil
+}
+
+// VMs waits up to wait for a VM list whose version differs from the given one and
+// returns the list; ok is false when there was none.
+func (c *Client) VMs(ctx context.Context, version uint64, wait time.Duration) (l *schema.VmList, ok bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	b, err := c.do(ctx, http.MethodGet, PathVMs+"?"+watchParams(version, wait).Encode(), nil)
+	if err != nil {
+		return nil, false, err
+	}
+	l = new(schema.VmList)
+	if err := proto.Unmarshal(b, l); err != nil {
+		return nil, false, errors.Mark(errors.Wrap(err, "reading the VM list"), ErrUnavailable)
+	}
+	return l, l.GetVersion() != version, nil
+}
+
+// do makes one call. net/http may repeat a GET by itself, which is harmless; it
+// never repeats a PUT here, for the body is hidden.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	var r io.Reader
+	if body != nil {
+		r = io.NopCloser(bytes.NewReader(body))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, r)
+	if err != nil {
+		return nil, errors.Wrap(err, "building the request")
+	}
+	if body != nil {
+		req.ContentLength = int64(len(body))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "calling the platform"), ErrUnavailable)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 2*MaxValue))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "reading the platform's answer"), ErrUnavailable)
+	}
+	return b, statusError(resp.StatusCode)
+}
+
+func statusError(code int) error {
+	switch code {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return ErrConflict
+	default:
+		return errors.Wrapf(ErrUnavailable, "status %d", code)
+	}
+}
--- /dev/null
+++ b/internal/standin/backend/fleet.go
@@ -0,0 +1,69 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/netutil"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Fleet is a number of stand-ins in one process, each on its own port.
+type Fleet struct {
+	Servers   []*Server
+	Addresses []netip.AddrPort
+	http      []*http.Server
+}
+
+// Listen starts the stand-ins. The first listens on the address of the settings, the
+// others on the next ports, or on free ones when the port is 0.
+func Listen(c schema.BackendSettings) (*Fleet, error) {
+	f := &Fleet{}
+	for i := range int(c.Count) {
+		at := c.Address
+		if at.Port() != 0 {
+			at = netip.AddrPortFrom(at.Addr(), at.Port()+uint16(i))
+		}
+		if err := f.listen(at, c); err != nil {
+			return nil, errors.CombineErrors(err, f.Close())
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) listen(at netip.AddrPort, c schema.BackendSettings) error {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return errors.Wrap(err, "listening as a backend server")
+	}
+	s := NewServer(int(c.Slots), c.RunTime)
+	h := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
+	f.Servers = append(f.Servers, s)
+	f.Addresses = append(f.Addresses, l.Addr().(*net.TCPAddr).AddrPort())
+	f.http = append(f.http, h)
+	go h.Serve(netutil.LimitListener(l, int(c.Connections)))
+	return nil
+}
+
+// Close stops the stand-ins.
+func (f *Fleet) Close() error {
+	var err error
+	for _, h := range f.http {
+		err = errors.CombineErrors(err, h.Close())
+	}
+	return err
+}
+
+// Shutdown stops the stand-ins once their tasks have ended.
+func (f *Fleet) Shutdown(ctx context.Context) error {
+	var err error
+	for _, h := range f.http {
+		err = errors.CombineErrors(err, h.Shutdown(ctx))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/standin/backend/server.go
@@ -0,0 +1,255 @@
+package backend
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/lavendercleat/lavendercleat/internal/backend"
+)
+
+// Behaviour is how the stand-in treats tasks, set by POST /admin/behaviour.
+type Behaviour struct {
+	// Mode is one of the Mode constants.
+	Mode Mode `json:"mode"`
+	// RunMS is the run time of tasks whose payload names none.
+	RunMS int64 `json:"run_ms"`
+	// SlowBy multiplies every run time when above 0.
+	SlowBy float64 `json:"slow_by"`
+	// OnlyTask limits the mode's answer to tasks of this index when set.
+	OnlyTask *int `json:"only_task"`
+}
+
+// Mode names a behaviour.
+type Mode string
+
+// Modes of behaviour.
+const (
+	// Serve runs tasks.
+	Serve Mode = "serve"
+	// Fail starts every task and answers 500 at once.
+	Fail Mode = "fail"
+	// Refuse refuses every task before its start.
+	Refuse Mode = "refuse"
+	// Leaving refuses every task before its start and says that it is leaving.
+	Leaving Mode = "leaving"
+	// Stall starts every task and never answers.
+	Stall Mode = "stall"
+	// DropReply runs tasks and breaks the connection instead of answering.
+	DropReply Mode = "drop_reply"
+	// CutReply runs tasks and breaks the connection in the middle of the answer.
+	CutReply Mode = "cut_reply"
+)
+
+// Payload is what the stand-in understands of a task; everything is optional.
+type Payload struct {
+	// RunMS is the run time of the task.
+	RunMS *int64 `json:"run_ms"`
+	// Fail makes the task fail once it ran.
+	Fail bool `json:"fail"`
+	// ReplyBytes pads the result to about this size.
+	ReplyBytes int `json:"reply_bytes"`
+}
+
+// Result is the stand-in's result of a task; it echoes the payload.
+type Result struct {
+	Submission string          `json:"submission"`
+	Task       int             `json:"task"`
+	Payload    json.RawMessage `json:"payload"`
+	Padding    string          `json:"padding,omitempty"`
+}
+
+// Witness tells what ran, by GET /admin/witness.
+type Witness struct {
+	// Starts counts all starts, Doubled those of a task that had started before.
+	Starts  int64 `json:"starts"`
+	Doubled int64 `json:"doubled"`
+	// Refused counts refusals, Aborted the tasks whose caller went away.
+	Refused int64 `json:"refused"`
+	Aborted int64 `json:"aborted"`
+	// BusyMS adds up the run times.
+	BusyMS int64 `json:"busy_ms"`
+	// Tasks counts the starts by submission and task, as "submission/task".
+	Tasks map[string]int `json:"tasks,omitempty"`
+}
+
+// Server is one stand-in; it implements http.Handler.
+type Server struct {
+	http.Handler
+	slots int
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	running   int
+	witness   Witness
+}
+
+// NewServer returns a stand-in with a number of slots that serves tasks.
+func NewServer(slots int, run time.Duration) *Server {
+	s := &Server{
+		slots:     slots,
+		behaviour: Behaviour{Mode: Serve, RunMS: run.Milliseconds()},
+		witness:   Witness{Tasks: make(map[string]int)},
+	}
+	gin.SetMode(gin.ReleaseMode)
+	r := gin.New()
+	admin := r.Group("/admin")
+	admin.GET("/witness", s.getWitness)
+	admin.POST("/behaviour", s.setBehaviour)
+	r.NoRoute(s.task)
+	s.Handler = r
+	return s
+}
+
+// Witness returns what ran so far.
+func (s *Server) Witness() Witness {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.witness
+	w.Tasks = make(map[string]int, len(s.witness.Tasks))
+	for k, n := range s.witness.Tasks {
+		w.Tasks[k] = n
+	}
+	return w
+}
+
+func (s *Server) getWitness(c *gin.Context) {
+	w := s.Witness()
+	if c.Query("totals") != "" {
+		w.Tasks = nil
+	}
+	c.JSON(http.StatusOK, w)
+}
+
+func (s *Server) setBehaviour(c *gin.Context) {
+	b := Behaviour{Mode: Serve}
+	if err := c.BindJSON(&b); err != nil {
+		return
+	}
+	s.SetBehaviour(b)
+}
+
+// SetBehaviour changes how tasks are treated.
+func (s *Server) SetBehaviour(b Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behaviour = b
+}
+
+// admit counts a start, or a refusal when there is no slot.
+func (s *Server) admit(key string) (b Behaviour, started bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b = s.behaviour
+	if b.Mode == Refuse || b.Mode == Leaving || s.running >= s.slots {
+		s.witness.Refused++
+		return b, false
+	}
+	s.running++
+	s.witness.Starts++
+	s.witness.Tasks[key]++
+	if s.witness.Tasks[key] > 1 {
+		s.witness.Doubled++
+	}
+	return b, true
+}
+
+// release ends a run.
+func (s *Server) release(ran time.Duration, aborted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.witness.BusyMS += ran.Milliseconds()
+	if aborted {
+		s.witness.Aborted++
+	}
+}
+
+// task serves one task.
+func (s *Server) task(c *gin.Context) {
+	body, err := io.ReadAll(c.Request.Body)
+	if err != nil {
+		return
+	}
+	sub := c.GetHeader(backend.HeaderSubmission)
+	index := c.GetHeader(backend.HeaderTask)
+	b, started := s.admit(sub + "/" + index)
+	if b.Mode == Leaving {
+		c.Header(backend.HeaderLeaving, "1")
+	}
+	if !started {
+		c.Header(backend.HeaderNotRun, "1")
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
+	var p Payload
+	_ = json.Unmarshal(body, &p) // a payload of another shape names no behaviour
+	begin := time.Now()
+	aborted := s.run(c, b, p)
+	s.release(time.Since(begin), aborted)
+	if aborted {
+		return
+	}
+	task, _ := strconv.Atoi(index)
+	s.answer(c, b, p, Result{Submission: sub, Task: task, Payload: body})
+}
+
+// run spends the run time and tells whether the caller went away meanwhile.
+func (s *Server) run(c *gin.Context, b Behaviour, p Payload) (aborted bool) {
+	ms := b.RunMS
+	if p.RunMS != nil {
+		ms = *p.RunMS
+	}
+	d := time.Duration(ms) * time.Millisecond
+	if b.SlowBy > 0 {
+		d = time.Duration(float64(d) * b.SlowBy)
+	}
+	switch b.Mode {
+	case Fail:
+		d = 0
+	case Stall:
+		<-c.Request.Context().Done()
+		return true
+	}
+	if d == 0 {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return false
+	case <-c.Request.Context().Done():
+		return true
+	}
+}
+
+// answer answers as the behaviour and the payload say.
+func (s *Server) answer(c *gin.Context, b Behaviour, p Payload, r Result) {
+	mode := b.Mode
+	if b.OnlyTask != nil && *b.OnlyTask != r.Task {
+		mode = Serve
+	}
+	if p.ReplyBytes > 0 {
+		r.Padding = strings.Repeat("x", p.ReplyBytes)
+	}
+	switch {
+	case mode == DropReply:
+		panic(http.ErrAbortHandler)
+	case mode == CutReply:
+		c.Header("Content-Length", "1000")
+		_, _ = c.Writer.WriteString(`{"submission"`)
+		c.Writer.Flush()
+		panic(http.ErrAbortHandler)
+	case mode == Fail || p.Fail:
+		c.String(http.StatusInternalServerError, "task failed")
+	default:
+		c.JSON(http.StatusOK, r)
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,240 @@
+package platform
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/lavendercleat/lavendercleat/internal/platform"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Faults that the stand-in can be told to show, by POST /admin/faults.
+type Faults struct {
+	// Down answers every call with 500 and without an effect.
+	Down bool `json:"down"`
+	// DelayMS delays every answer.
+	DelayMS int64 `json:"delay_ms"`
+	// LoseWriteReplies lets this many writes take effect and breaks their connections
+	// before the reply.
+	LoseWriteReplies int `json:"lose_write_replies"`
+}
+
+// Counts of calls, by GET /admin/counts. A waiting watch counts as one call.
+type Counts struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+}
+
+// Server is the stand-in; it implements http.Handler.
+type Server struct {
+	http.Handler
+	store  *store
+	vms    *vmList
+	mu     sync.Mutex
+	faults Faults
+	reads  atomic.Int64
+	writes atomic.Int64
+	waits  atomic.Int64
+}
+
+// NewServer returns a stand-in without keys and VMs.
+func NewServer() *Server {
+	s := &Server{store: newStore(), vms: newVMList()}
+	gin.SetMode(gin.ReleaseMode)
+	r := gin.New()
+	v1 := r.Group("/v1", s.fault)
+	v1.GET("/keys/:key", s.getKey)
+	v1.PUT("/keys/:key", s.putKey)
+	v1.GET("/vms", s.getVMs)
+	v1.POST("/leases", s.grantLease)
+	v1.POST("/leases/:id", s.renewLease)
+	admin := r.Group("/admin")
+	admin.POST("/vms", s.setVMs)
+	admin.POST("/lag", s.setLag)
+	admin.POST("/faults", s.setFaults)
+	admin.PUT("/keys/:key", s.restoreKey)
+	admin.GET("/counts", s.getCounts)
+	s.Handler = r
+	return s
+}
+
+// SetVMs replaces the list of VMs.
+func (s *Server) SetVMs(vms []*schema.Vm) { s.vms.set(vms) }
+
+// fault shows the faults set before the call is carried out.
+func (s *Server) fault(c *gin.Context) {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.DelayMS > 0 {
+		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+	}
+	if f.Down {
+		c.AbortWithStatus(http.StatusInternalServerError)
+	}
+}
+
+// loseReply tells whether the reply of this write is to be lost.
+func (s *Server) loseReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseWriteReplies == 0 {
+		return false
+	}
+	s.faults.LoseWriteReplies--
+	return true
+}
+
+func number(c *gin.Context, name string) uint64 {
+	n, _ := strconv.ParseUint(c.Query(name), 10, 64)
+	return n
+}
+
+// waitFor returns the channel that ends a watch's wait; a call that doesn't watch
+// gets a closed one.
+func waitFor(c *gin.Context) (after uint64, timeout <-chan time.Time) {
+	wait := time.Duration(number(c, platform.ParamWait)) * time.Millisecond
+	return number(c, platform.ParamAfter), time.After(wait)
+}
+
+func (s *Server) getKey(c *gin.Context) {
+	watch := c.Query(platform.ParamWait) != ""
+	s.count(watch)
+	after, timeout := waitFor(c)
+	for {
+		v, found, changed := s.store.get(c.Param("key"))
+		if !watch && !found {
+			c.Status(http.StatusNotFound)
+			return
+		}
+		if !watch || v.Revision != after {
+			c.JSON(http.StatusOK, v)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			c.JSON(http.StatusOK, v)
+			return
+		case <-c.Request.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) count(watch bool) {
+	if watch {
+		s.waits.Add(1)
+		return
+	}
+	s.reads.Add(1)
+}
+
+func (s *Server) putKey(c *gin.Context) {
+	s.writes.Add(1)
+	b, err := io.ReadAll(io.LimitReader(c.Request.Body, platform.MaxValue+1))
+	if err != nil {
+		return
+	}
+	if len(b) > platform.MaxValue {
+		c.Status(http.StatusRequestEntityTooLarge)
+		return
+	}
+	rev, err := s.store.put(c.Param("key"), number(c, platform.ParamPrev), b, number(c, "lease"))
+	if s.loseReply() {
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		c.Status(http.StatusConflict)
+	case err != nil:
+		c.String(http.StatusGone, err.Error())
+	default:
+		c.JSON(http.StatusOK, platform.Value{Revision: rev})
+	}
+}
+
+func (s *Server) getVMs(c *gin.Context) {
+	watch := c.Query(platform.ParamWait) != ""
+	s.count(watch)
+	after, timeout := waitFor(c)
+	for {
+		b, version, changed, err := s.vms.get()
+		if err != nil {
+			c.Status(http.StatusInternalServerError)
+			return
+		}
+		if !watch || version != after {
+			c.Data(http.StatusOK, "application/x-protobuf", b)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			c.Data(http.StatusOK, "application/x-protobuf", b)
+			return
+		case <-c.Request.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) grantLease(c *gin.Context) {
+	id := s.store.grant(time.Duration(number(c, "ttl_ms")) * time.Millisecond)
+	c.JSON(http.StatusOK, gin.H{"lease": id})
+}
+
+func (s *Server) renewLease(c *gin.Context) {
+	id, _ := strconv.ParseUint(c.Param("id"), 10, 64)
+	if err := s.store.renew(id); err != nil {
+		c.String(http.StatusGone, err.Error())
+	}
+}
+
+func (s *Server) setVMs(c *gin.Context) {
+	b, err := io.ReadAll(c.Request.Body)
+	if err != nil {
+		return
+	}
+	var l schema.VmList
+	if err := protojson.Unmarshal(b, &l); err != nil {
+		c.String(http.StatusBadRequest, err.Error())
+		return
+	}
+	s.vms.set(l.GetVms())
+}
+
+func (s *Server) setLag(c *gin.Context) {
+	s.vms.setLag(time.Duration(number(c, "ms")) * time.Millisecond)
+}
+
+func (s *Server) setFaults(c *gin.Context) {
+	var f Faults
+	if err := c.BindJSON(&f); err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Server) restoreKey(c *gin.Context) {
+	var v platform.Value
+	if err := c.BindJSON(&v); err != nil {
+		return
+	}
+	s.store.restore(c.Param("key"), v)
+}
+
+func (s *Server) getCounts(c *gin.Context) {
+	c.JSON(http.StatusOK, Counts{Reads: s.reads.Load(), Writes: s.writes.Load(), Watches: s.waits.Load()})
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,111 @@
+package platform
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendercleat/lavendercleat/internal/platform"
+)
+
+// errLeaseExpired: the lease has expired or never existed.
+var errLeaseExpired = errors.New("lease expired")
+
+// store is the key-value store. Waiters are woken by closing changed.
+type store struct {
+	mu      sync.Mutex
+	values  map[string]entry
+	leases  map[uint64]lease
+	nextID  uint64
+	changed chan struct{}
+}
+
+type entry struct {
+	platform.Value
+	lease uint64
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+func newStore() *store {
+	return &store{values: make(map[string]entry), leases: make(map[uint64]lease), changed: make(chan struct{})}
+}
+
+// expire drops the leases that ran out and their keys. Called under the lock.
+func (s *store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		delete(s.leases, id)
+		for k, e := range s.values {
+			if e.lease == id {
+				delete(s.values, k)
+			}
+		}
+		s.wake()
+	}
+}
+
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// get returns a key's value and the channel that is closed at the next change.
+func (s *store) get(key string) (v platform.Value, found bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	e, found := s.values[key]
+	return e.Value, found, s.changed
+}
+
+// put writes a key if its revision is prev.
+func (s *store) put(key string, prev uint64, value []byte, leaseID uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	if s.values[key].Revision != prev {
+		return 0, platform.ErrConflict
+	}
+	if _, ok := s.leases[leaseID]; leaseID != 0 && !ok {
+		return 0, errLeaseExpired
+	}
+	s.values[key] = entry{Value: platform.Value{Revision: prev + 1, Value: value}, lease: leaseID}
+	s.wake()
+	return prev + 1, nil
+}
+
+// restore overwrites a key, as a store does that comes back from an old copy.
+func (s *store) restore(key string, v platform.Value) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values[key] = entry{Value: v}
+	s.wake()
+}
+
+func (s *store) grant(ttl time.Duration) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	s.leases[s.nextID] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return s.nextID
+}
+
+func (s *store) renew(id uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	l, ok := s.leases[id]
+	if !ok {
+		return errLeaseExpired
+	}
+	l.expires = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	return nil
+}
--- /dev/null
+++ b/member/view.go
@@ -0,0 +1,190 @@
+package member
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Config holds the settings of a view.
+type Config struct {
+	// Self is the address of this entry's peer interface.
+	Self netip.AddrPort
+	// Incarnation of this process.
+	Incarnation uint64
+	// Domain is this entry's failure domain.
+	Domain string
+	// Timeout is the silence after which a peer counts as dead. It must be several
+	// heartbeat intervals.
+	Timeout time.Duration
+}
+
+// Peer is what is known of another entry.
+type Peer struct {
+	Address     netip.AddrPort
+	Incarnation uint64
+	Domain      string
+	// Heard is the time of the latest heartbeat.
+	Heard time.Duration
+	// Stopping is set once the peer said that it takes no new work.
+	Stopping bool
+	// FreeSlots is how many slots the peer could lend at its latest heartbeat.
+	FreeSlots int
+	// ConfigRevision and VMListVersion are those in force at the peer.
+	ConfigRevision uint64
+	VMListVersion  uint64
+}
+
+// Process names one process by address and incarnation.
+type Process struct {
+	Address     netip.AddrPort
+	Incarnation uint64
+}
+
+// View is one entry's view of the others. It is not safe for concurrent use.
+type View struct {
+	config     Config
+	peers      map[netip.AddrPort]*Peer
+	candidates map[netip.AddrPort]string
+	successors map[Process]Process
+	order      []Process
+}
+
+// maxSuccessors bounds the memory of stopped processes; the oldest are forgotten.
+const maxSuccessors = 512
+
+// NewView returns a view without peers.
+func NewView(c Config) *View {
+	return &View{
+		config:     c,
+		peers:      make(map[netip.AddrPort]*Peer),
+		candidates: make(map[netip.AddrPort]string),
+		successors: make(map[Process]Process),
+	}
+}
+
+// SetCandidates sets the addresses that may be contacted, with their failure domain
+// where it is known. The view's own address is left out.
+func (v *View) SetCandidates(c map[netip.AddrPort]string) {
+	v.candidates = make(map[netip.AddrPort]string, len(c))
+	for a, domain := range c {
+		if a != v.config.Self {
+			v.candidates[a] = domain
+		}
+	}
+}
+
+// Candidates returns the addresses that may be contacted, sorted: those of the VM
+// list and settings, and those that were heard.
+func (v *View) Candidates() []netip.AddrPort {
+	all := make([]netip.AddrPort, 0, len(v.candidates)+len(v.peers))
+	for a := range v.candidates {
+		all = append(all, a)
+	}
+	for a := range v.peers {
+		if _, ok := v.candidates[a]; !ok {
+			all = append(all, a)
+		}
+	}
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	return all
+}
+
+// Known tells whether an address belongs to an entry. Only known addresses may be
+// connected to: an address inside an identifier is caller input.
+func (v *View) Known(a netip.AddrPort) bool {
+	if _, ok := v.candidates[a]; ok {
+		return true
+	}
+	return v.peers[a] != nil
+}
+
+// Heard takes in a peer's heartbeat and tells whether the set of live peers changed.
+func (v *View) Heard(now time.Duration, p Peer) (changed bool) {
+	if p.Address == v.config.Self {
+		return false
+	}
+	old := v.peers[p.Address]
+	changed = old == nil || !v.live(old, now) || old.Incarnation != p.Incarnation || old.Stopping != p.Stopping
+	p.Heard = now
+	v.peers[p.Address] = &p
+	return changed
+}
+
+// Tick drops peers that have been silent too long and tells whether any was.
+func (v *View) Tick(now time.Duration) (changed bool) {
+	for a, p := range v.peers {
+		if !v.live(p, now) {
+			delete(v.peers, a)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (v *View) live(p *Peer, now time.Duration) bool {
+	return now-p.Heard <= v.config.Timeout
+}
+
+// Peer returns the live peer at an address, nil when there is none.
+func (v *View) Peer(a netip.AddrPort) *Peer { return v.peers[a] }
+
+// Live returns the live peers of a failure domain sorted by address; all for "".
+func (v *View) Live(domain string) []*Peer {
+	var live []*Peer
+	for _, p := range v.peers {
+		if domain == "" || p.Domain == domain {
+			live = append(live, p)
+		}
+	}
+	slices.SortFunc(live, func(a, b *Peer) int { return a.Address.Compare(b.Address) })
+	return live
+}
+
+// Members returns the addresses among which the slots of this failure domain are
+// divided: this entry and its live peers that are not stopping, sorted.
+func (v *View) Members(selfStopping bool) []netip.AddrPort {
+	var members []netip.AddrPort
+	if !selfStopping {
+		members = append(members, v.config.Self)
+	}
+	for _, p := range v.Live(v.config.Domain) {
+		if !p.Stopping {
+			members = append(members, p.Address)
+		}
+	}
+	slices.SortFunc(members, netip.AddrPort.Compare)
+	return members
+}
+
+// SetSuccessor records who keeps the answers of a stopped process.
+func (v *View) SetSuccessor(stopped, successor Process) {
+	if _, ok := v.successors[stopped]; !ok {
+		v.order = append(v.order, stopped)
+	}
+	v.successors[stopped] = successor
+	if len(v.order) > maxSuccessors {
+		delete(v.successors, v.order[0])
+		v.order = v.order[1:]
+	}
+}
+
+// Successor returns the process that keeps the answers of p now, following
+// successors that stopped in turn; p itself when it did not stop.
+func (v *View) Successor(p Process) Process {
+	for range maxSuccessors {
+		next, ok := v.successors[p]
+		if !ok {
+			break
+		}
+		p = next
+	}
+	return p
+}
+
+// Successors calls fn for each stopped process and its successor.
+func (v *View) Successors(fn func(stopped, successor Process)) {
+	for _, p := range v.order {
+		fn(p, v.successors[p])
+	}
+}
--- /dev/null
+++ b/slot/share.go
@@ -0,0 +1,47 @@
+package slot
+
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Share returns how many of a worker's slots belong to self, one of the members of
+// the worker's failure domain. Every member gets the whole part of slots/len(members);
+// what is left over goes to the members that rank highest for this worker.
+func Share(worker string, slots int, members []netip.AddrPort, self netip.AddrPort) int {
+	n := len(members)
+	if n == 0 || slots <= 0 {
+		return 0
+	}
+	own := rank(worker, self)
+	above := 0
+	found := false
+	for _, m := range members {
+		if m == self {
+			found = true
+			continue
+		}
+		r := rank(worker, m)
+		if r > own || r == own && m.Compare(self) > 0 {
+			above++
+		}
+	}
+	if !found {
+		return 0
+	}
+	share := slots / n
+	if above < slots%n {
+		share++
+	}
+	return share
+}
+
+// rank orders members per worker, so that left-over slots spread evenly.
+func rank(worker string, member netip.AddrPort) uint64 {
+	var buf [64]byte
+	b := append(buf[:0], worker...)
+	b = append(b, '|')
+	b = member.AppendTo(b)
+	return xxhash.Sum64(b)
+}
--- /dev/null
+++ b/submission/doc.go
@@ -0,0 +1,10 @@
+// Package submission holds identifiers of submissions and the table of their records.
+//
+// A submission has one owner for life: its identifier names the one process, by
+// address and incarnation, that may start its tasks. An owner that dies takes that
+// right with it, so no lease, clock or agreement between machines is needed to keep
+// a task from starting twice.
+//
+// The package does no I/O and reads no clock: times are durations on the owner's
+// monotonic clock, counted from the start of the process.
+package submission
--- /dev/null
+++ b/submission/id.go
@@ -0,0 +1,150 @@
+package submission
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Sizes of the parts of an identifier, in bytes.
+const (
+	addressSize = 16
+	nonceSize   = 16
+	macSize     = 16
+	idSize      = 1 + addressSize + 2 + 8 + 8 + nonceSize + macSize
+	idVersion   = 1
+	// shownPrefix is how much of an identifier's nonce may appear in logs.
+	shownPrefix = 4
+)
+
+// Errors of identifiers.
+var (
+	// ErrMalformed: the text is no identifier.
+	ErrMalformed = errors.New("malformed identifier")
+	// ErrForged: the identifier was altered, or minted for another team.
+	ErrForged = errors.New("identifier was not issued to this team")
+)
+
+// ID identifies a submission and names its owner. Knowing it, together with the
+// team's token, is the right to read the answer.
+type ID struct {
+	// Owner is the address of the owner's peer interface.
+	Owner netip.AddrPort
+	// Incarnation distinguishes processes at the same address.
+	Incarnation uint64
+	// Minted is the time of minting on the owner's clock, in milliseconds.
+	Minted time.Duration
+	nonce  [nonceSize]byte
+	mac    [macSize]byte
+}
+
+// String returns the identifier's text.
+func (id ID) String() string {
+	b := id.signed()
+	b = append(b, id.mac[:]...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Short returns a prefix that identifies the submission in logs without giving
+// away the identifier.
+func (id ID) Short() string {
+	return base64.RawURLEncoding.EncodeToString(id.nonce[:shownPrefix])
+}
+
+// signed returns the bytes that the MAC covers.
+func (id ID) signed() []byte {
+	b := make([]byte, 0, idSize)
+	b = append(b, idVersion)
+	addr := id.Owner.Addr().As16()
+	b = append(b, addr[:]...)
+	b = binary.BigEndian.AppendUint16(b, id.Owner.Port())
+	b = binary.BigEndian.AppendUint64(b, id.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, uint64(id.Minted/time.Millisecond))
+	return append(b, id.nonce[:]...)
+}
+
+// Parse reads an identifier's text. The result is not yet verified: only the owner
+// can do that.
+func Parse(text string) (ID, error) {
+	b, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(b) != idSize || b[0] != idVersion {
+		return ID{}, ErrMalformed
+	}
+	b = b[1:]
+	addr := netip.AddrFrom16([addressSize]byte(b[:addressSize])).Unmap()
+	b = b[addressSize:]
+	id := ID{
+		Owner:       netip.AddrPortFrom(addr, binary.BigEndian.Uint16(b)),
+		Incarnation: binary.BigEndian.Uint64(b[2:]),
+	}
+	b = b[10:]
+	ms := binary.BigEndian.Uint64(b)
+	if ms > uint64(maxMinted/time.Millisecond) {
+		return ID{}, ErrMalformed
+	}
+	id.Minted = time.Duration(ms) * time.Millisecond
+	b = b[8:]
+	copy(id.nonce[:], b)
+	copy(id.mac[:], b[nonceSize:])
+	return id, nil
+}
+
+// maxMinted bounds the time of minting, so that adding to it can't overflow.
+const maxMinted = 100 * 365 * 24 * time.Hour
+
+// Minter mints and verifies the identifiers of one process. Its key never leaves
+// the process, so only this process can tell its identifiers from forged ones.
+type Minter struct {
+	owner       netip.AddrPort
+	incarnation uint64
+	key         [sha256.Size]byte
+}
+
+// NewMinter returns a minter for the process at owner, with a new incarnation and key.
+func NewMinter(owner netip.AddrPort) *Minter {
+	m := &Minter{owner: owner}
+	var b [8]byte
+	rand.Read(b[:])
+	m.incarnation = binary.BigEndian.Uint64(b[:])
+	rand.Read(m.key[:])
+	return m
+}
+
+// Incarnation returns the incarnation of the process.
+func (m *Minter) Incarnation() uint64 { return m.incarnation }
+
+// Owner returns the address of the process.
+func (m *Minter) Owner() netip.AddrPort { return m.owner }
+
+// Mint returns a new identifier for the team. It costs no memory until it is used.
+func (m *Minter) Mint(team string, now time.Duration) ID {
+	id := ID{Owner: m.owner, Incarnation: m.incarnation, Minted: now.Truncate(time.Millisecond)}
+	rand.Read(id.nonce[:])
+	id.mac = m.mac(id, team)
+	return id
+}
+
+// Verify returns ErrForged unless this process minted the identifier for the team.
+// The comparison takes constant time, so a guess can't be refined byte by byte.
+func (m *Minter) Verify(id ID, team string) error {
+	want := m.mac(id, team)
+	if subtle.ConstantTimeCompare(want[:], id.mac[:]) != 1 {
+		return ErrForged
+	}
+	return nil
+}
+
+// mac covers the team too: another team's identifier is as good as a forged one.
+func (m *Minter) mac(id ID, team string) [macSize]byte {
+	h := hmac.New(sha256.New, m.key[:])
+	h.Write(id.signed())
+	h.Write([]byte(team))
+	return [macSize]byte(h.Sum(nil))
+}
--- /dev/null
+++ b/submission/table.go
@@ -0,0 +1,202 @@
+package submission
+
+import (
+	"crypto/sha256"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// shardCount is the number of shards of the table, each under its own lock.
+const shardCount = 64
+
+// Digest identifies the body of a request.
+type Digest [sha256.Size]byte
+
+// Ending is the one ending of a submission, as it is told to the caller.
+type Ending struct {
+	// Status is the HTTP status.
+	Status int
+	// Body is the JSON text of the answer.
+	Body []byte
+	// RetryAfter is the time to wait before a new submission; 0 means no advice.
+	RetryAfter time.Duration
+}
+
+// Record is one submission: running until Done is closed, then ended.
+type Record struct {
+	ID   string
+	Team string
+	// Digest of the request's body; the same identifier with another body is refused.
+	Digest Digest
+
+	minted time.Duration
+	done   chan struct{}
+	ending Ending
+	// keepUntil is the time at which the record is dropped; 0 while it runs.
+	keepUntil time.Duration
+}
+
+// Done is closed once the submission has ended.
+func (r *Record) Done() <-chan struct{} { return r.done }
+
+// Ending returns the ending; only valid once Done is closed.
+func (r *Record) Ending() Ending { return r.ending }
+
+// TableConfig holds the settings of a table.
+type TableConfig struct {
+	// Window is the time after minting within which an identifier must be used first.
+	Window time.Duration
+	// Retention is the time for which an ended submission's answer is kept.
+	Retention time.Duration
+	// MaxBytes bounds the bytes of kept answers.
+	MaxBytes int64
+}
+
+// Table holds the records of submissions in shards. It is safe for concurrent use.
+type Table struct {
+	config TableConfig
+	bytes  atomic.Int64
+	count  atomic.Int64
+	shards [shardCount]tableShard
+}
+
+type tableShard struct {
+	mu      sync.Mutex
+	records map[string]*Record
+}
+
+// NewTable returns an empty table.
+func NewTable(c TableConfig) *Table {
+	t := &Table{config: c}
+	for i := range t.shards {
+		t.shards[i].records = make(map[string]*Record)
+	}
+	return t
+}
+
+func (t *Table) shard(id string) *tableShard {
+	return &t.shards[xxhash.Sum64String(id)%shardCount]
+}
+
+// Begin finds the record of a verified identifier or makes it; first tells that it
+// was made, which gives the right to start its tasks and must be followed by End.
+//
+// Errors, all NotRun: IdentifierReused for another body under the identifier,
+// IdentifierExpired when it was not used within the window, AnswersFull at the bound
+// of kept answers.
+func (t *Table) Begin(id ID, team string, digest Digest, now time.Duration) (r *Record, first bool, err *verdict.Failure) {
+	text := id.String()
+	s := t.shard(text)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.records[text]; r != nil {
+		if r.Digest != digest {
+			return nil, false, verdict.New(verdict.NotRun, verdict.IdentifierReused,
+				"another body was sent under this identifier before; reserve a new one")
+		}
+		return r, false, nil
+	}
+	// Without this check a late copy of a request would start it again once the
+	// record is gone. The record is kept until the window is over, so a copy always
+	// meets the record or an expired identifier.
+	if now > id.Minted+t.config.Window {
+		return nil, false, verdict.New(verdict.NotRun, verdict.IdentifierExpired,
+			"the identifier was not used within %s; nothing was started by this request; ask for the earlier answer with GET or reserve a new identifier", t.config.Window)
+	}
+	if t.bytes.Load() >= t.config.MaxBytes {
+		return nil, false, verdict.New(verdict.NotRun, verdict.AnswersFull,
+			"no room to keep another answer; come back later").After(t.config.Retention / 8)
+	}
+	r = &Record{ID: text, Team: team, Digest: digest, minted: id.Minted, done: make(chan struct{})}
+	s.records[text] = r
+	t.count.Add(1)
+	return r, true, nil
+}
+
+// Get returns the record of an identifier, nil when there is none.
+func (t *Table) Get(id string) *Record {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records[id]
+}
+
+// End gives the record its one ending; a second call changes nothing and returns false.
+func (t *Table) End(r *Record, e Ending, now time.Duration) bool {
+	s := t.shard(r.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.keepUntil != 0 {
+		return false
+	}
+	r.ending = e
+	r.keepUntil = max(now+t.config.Retention, r.minted+t.config.Window)
+	t.bytes.Add(int64(len(e.Body)))
+	close(r.done)
+	return true
+}
+
+// Adopt keeps the ended record of a process that stopped; an existing one wins.
+func (t *Table) Adopt(id, team string, digest Digest, e Ending, keep, now time.Duration) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.records[id] != nil {
+		return
+	}
+	r := &Record{ID: id, Team: team, Digest: digest, done: make(chan struct{}), ending: e, keepUntil: now + keep}
+	close(r.done)
+	s.records[id] = r
+	t.bytes.Add(int64(len(e.Body)))
+	t.count.Add(1)
+}
+
+// Sweep drops the records whose time is over and returns how many.
+func (t *Table) Sweep(now time.Duration) int {
+	dropped := 0
+	for i := range t.shards {
+		dropped += t.sweepShard(&t.shards[i], now)
+	}
+	return dropped
+}
+
+func (t *Table) sweepShard(s *tableShard, now time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dropped := 0
+	for id, r := range s.records {
+		if r.keepUntil == 0 || now <= r.keepUntil {
+			continue
+		}
+		delete(s.records, id)
+		t.bytes.Add(-int64(len(r.ending.Body)))
+		t.count.Add(-1)
+		dropped++
+	}
+	return dropped
+}
+
+// Ended calls fn for each ended record with the time it still has to be kept.
+func (t *Table) Ended(now time.Duration, fn func(r *Record, keep time.Duration)) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, r := range s.records {
+			if r.keepUntil > now {
+				fn(r, r.keepUntil-now)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return int(t.count.Load()) }
+
+// Bytes returns the bytes of kept answers.
+func (t *Table) Bytes() int64 { return t.bytes.Load() }
--- /dev/null
+++ b/verdict/reason.go
@@ -0,0 +1,53 @@
+package verdict
+
+// Reason names why a request was refused, retried or failed. Each has its counter.
+type Reason string
+
+// Reasons of refusal: the request's own fault.
+const (
+	BadRequest        Reason = "bad_request"
+	Unauthorized      Reason = "unauthorized"
+	UnknownKind       Reason = "unknown_kind"
+	TooManyTasks      Reason = "too_many_tasks"
+	TooLarge          Reason = "too_large"
+	CannotRun         Reason = "cannot_run"
+	DeadlineTooShort  Reason = "deadline_too_short"
+	IdentifierBad     Reason = "identifier_bad"
+	IdentifierExpired Reason = "identifier_expired"
+	IdentifierUnknown Reason = "identifier_unknown"
+	IdentifierReused  Reason = "identifier_reused"
+	ReserveFirst      Reason = "reserve_first"
+)
+
+// Reasons of refusal: no room now.
+const (
+	OverQuota     Reason = "over_quota"
+	Overloaded    Reason = "overloaded"
+	NoWorkers     Reason = "no_workers"
+	AnswersFull   Reason = "answers_full"
+	Stopping      Reason = "stopping"
+	NotReady      Reason = "not_ready"
+	DomainRetired Reason = "domain_retired"
+)
+
+// Reasons why a request to the owner of an identifier failed.
+const (
+	OwnerUnreachable Reason = "owner_unreachable"
+	OwnerGone        Reason = "owner_gone"
+)
+
+// Reasons why a task was retried, or its job failed.
+const (
+	DialFailed       Reason = "dial_failed"
+	NothingSent      Reason = "nothing_sent"
+	WorkerRefused    Reason = "worker_refused"
+	WorkerLeaving    Reason = "worker_leaving"
+	TaskFailed       Reason = "task_failed"
+	TaskTimeout      Reason = "task_timeout"
+	ConnectionLost   Reason = "connection_lost"
+	ReplyTooLarge    Reason = "reply_too_large"
+	DeadlineExceeded Reason = "deadline_exceeded"
+	RetriesExhausted Reason = "retries_exhausted"
+	Canceled         Reason = "canceled"
+	Internal         Reason = "internal"
+)
