--- /dev/null
+++ b/test/cluster/check.go
@@ -0,0 +1,46 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	standinbackend "github.com/lavendercleat/lavendercleat/internal/standin/backend"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Job returns a job whose payloads name the job and the task.
+func Job(kind string, mark string, tasks int) schema.Job {
+	j := schema.Job{Kind: kind, Tasks: make([]schema.Task, tasks)}
+	for i := range j.Tasks {
+		j.Tasks[i].Payload = json.RawMessage(fmt.Sprintf(`{"mark":%q,"task":%d}`, mark, i))
+	}
+	return j
+}
+
+// CheckWhole reports an error unless the answer is whole, in task order, and the
+// job's own. It may be called from any goroutine.
+func CheckWhole(t testing.TB, j schema.Job, r client.Reply) bool {
+	t.Helper()
+	if r.Outcome != client.Complete {
+		t.Errorf("outcome %s, status %d: %s (%s): %s", r.Outcome, r.Status, r.Reason, r.Verdict, r.Message)
+		return false
+	}
+	if len(r.Results) != len(j.Tasks) {
+		t.Errorf("%d results for %d tasks", len(r.Results), len(j.Tasks))
+		return false
+	}
+	for i, raw := range r.Results {
+		var res standinbackend.Result
+		if err := json.Unmarshal(raw, &res); err != nil {
+			t.Errorf("result %d: %v", i, err)
+			return false
+		}
+		if res.Submission != r.Id || res.Task != i || string(res.Payload) != string(j.Tasks[i].Payload) {
+			t.Errorf("result %d is not the caller's own: %s", i, raw)
+			return false
+		}
+	}
+	return true
+}
