--- a/sched/job.go
+++ b/sched/job.go
@@ -71,6 +71,7 @@
 type run struct {
 	start   Start
 	worker  *worker
+	kind    *kind
 	started time.Duration
 }
 
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -18,6 +18,7 @@
 	// slots until Done.
 	runs  map[runKey]*run
 	queue []*job
+	kinds map[string]*kind
 	ready Ready
 }
 
@@ -28,6 +29,7 @@
 		workers: make(map[string]*worker),
 		jobs:    make(map[JobKey]*job),
 		runs:    make(map[runKey]*run),
+		kinds:   make(map[string]*kind),
 	}
 }
 
@@ -109,7 +111,7 @@
 func (s *Scheduler) schedule(now time.Duration) {
 	for i := 0; i < len(s.queue); i++ {
 		j := s.queue[i]
-		for len(j.waiting) > 0 {
+		for len(j.waiting) > 0 && s.kind(j.Kind).room() {
 			w := s.pick(now, j)
 			if w == nil {
 				break
@@ -147,10 +149,11 @@
 	j.waiting = j.waiting[:len(j.waiting)-1]
 	j.attempts[task]++
 	st := Start{Job: j.Key, Task: task, Worker: w.Address, Attempt: int(j.attempts[task])}
-	r := &run{start: st, worker: w, started: now}
+	r := &run{start: st, worker: w, kind: s.kind(j.Kind), started: now}
 	s.runs[runKey{j.Key, task}] = r
 	j.running[task] = r
 	w.running++
+	r.kind.running++
 	s.ready.Starts = append(s.ready.Starts, st)
 }
 
@@ -163,6 +166,7 @@
 	}
 	delete(s.runs, key)
 	r.worker.running--
+	r.kind.running--
 	if o.Leaving {
 		r.worker.leaving = true
 	}
