--- a/internal/standin/backend/fleet.go
+++ b/internal/standin/backend/fleet.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,12 +19,19 @@
 	Servers   []*Server
 	Addresses []netip.AddrPort
 	http      []*http.Server
+	log       *os.File
 }
 
 // Listen starts the stand-ins. The first listens on the address of the settings, the
 // others on the next ports, or on free ones when the port is 0.
 func Listen(c schema.BackendSettings) (*Fleet, error) {
 	f := &Fleet{}
+	if c.WitnessFile != "" {
+		var err error
+		if f.log, err = os.OpenFile(c.WitnessFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+			return nil, errors.Wrap(err, "--witness-file")
+		}
+	}
 	for i := range int(c.Count) {
 		at := c.Address
 		if at.Port() != 0 {
@@ -42,6 +50,9 @@
 		return errors.Wrap(err, "listening as a backend server")
 	}
 	s := NewServer(int(c.Slots), c.RunTime)
+	if f.log != nil {
+		s.log = f.log
+	}
 	h := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
 	f.Servers = append(f.Servers, s)
 	f.Addresses = append(f.Addresses, l.Addr().(*net.TCPAddr).AddrPort())
@@ -56,6 +67,9 @@
 	for _, h := range f.http {
 		err = errors.CombineErrors(err, h.Close())
 	}
+	if f.log != nil {
+		err = errors.CombineErrors(err, f.log.Close())
+	}
 	return err
 }
 
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -83,6 +83,8 @@
 type Server struct {
 	http.Handler
 	slots int
+	// log gets a line for each start before the task runs; nil for none.
+	log io.Writer
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -152,6 +154,9 @@
 		return b, false
 	}
 	s.running++
+	if s.log != nil {
+		_, _ = io.WriteString(s.log, key+"\n") // a short write shows as a missing start
+	}
 	s.witness.Starts++
 	s.witness.Tasks[key]++
 	if s.witness.Tasks[key] > 1 {
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -79,4 +79,6 @@
 	Connections int32 `name:"connections" env:"LAVENDERCLEAT_CONNECTIONS" help:"Connections a backend server accepts." default:"64"`
 	// Run time of a task whose payload names none.
 	RunTime time.Duration `name:"run-time" env:"LAVENDERCLEAT_RUN_TIME" help:"Run time of a task whose payload names none." default:"50ms"`
+	// File to which each start is appended as a line "submission/task", so that it outlives a killed process; none when empty.
+	WitnessFile string `name:"witness-file" env:"LAVENDERCLEAT_WITNESS_FILE" help:"File to which each start is appended as a line \"submission/task\", so that it outlives a killed process; none when empty." optional:""`
 }
