--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -40,6 +39,10 @@
 func (a *callers) handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
+	g.RedirectTrailingSlash = false
+	g.HandleMethodNotAllowed = true
+	g.NoRoute(a.noRoute)
+	g.NoMethod(a.noMethod)
 	g.Use(a.authenticate)
 	g.POST("/v1/submissions", a.reserve)
 	g.PUT("/v1/submissions/:id", a.submission)
@@ -65,6 +68,16 @@
 	a.refuse(c, verdict.New(verdict.NotRun, verdict.Unauthorized, "send a team's token as Authorization: Bearer TOKEN"))
 }
 
+func (a *callers) noRoute(c *gin.Context) {
+	a.refuse(c, verdict.New(verdict.NotRun, verdict.NotFound,
+		"there is nothing at this path; accepted are /v1/submissions, /v1/submissions/ID and /v1/jobs"))
+}
+
+func (a *callers) noMethod(c *gin.Context) {
+	a.refuse(c, verdict.New(verdict.NotRun, verdict.MethodNotAllowed,
+		"method %s is not accepted here, but %s", shorten(c.Request.Method), c.Writer.Header().Get("Allow")))
+}
+
 // reserve mints identifiers; nothing runs and no memory is held.
 func (a *callers) reserve(c *gin.Context) {
 	if f := a.notReady(); f != nil {
@@ -77,8 +90,8 @@
 	}
 	r := schema.ReserveRequest{Count: 1}
 	if len(bytes.TrimSpace(body)) > 0 {
-		if err := json.Unmarshal(body, &r); err != nil {
-			a.refuse(c, verdict.New(verdict.NotRun, verdict.BadRequest, "the body is not {\"count\": n}: %v", err))
+		if err := decodeStrict(body, &r); err != nil {
+			a.refuse(c, verdict.New(verdict.NotRun, verdict.BadRequest, "the body is not {\"count\": n}: %s", err))
 			return
 		}
 	}
@@ -160,7 +173,7 @@
 		return body, true
 	}
 	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
-		a.refuse(c, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes", limit))
+		a.refuse(c, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes; split the job", limit))
 		return nil, false
 	}
 	a.refuse(c, verdict.New(verdict.NotRun, verdict.BadRequest, "the body broke off"))
--- /dev/null
+++ b/internal/entry/job.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/sched"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// shownText bounds how much of a caller's text is repeated to it.
+const shownText = 64
+
+// decodeJob reads a body that holds one job and nothing else.
+func decodeJob(body []byte) (*schema.Job, error) {
+	j := new(schema.Job)
+	return j, decodeStrict(body, j)
+}
+
+// decodeStrict reads one JSON value without unknown fields and without anything
+// behind it: what is not understood may change what the caller meant. The error is
+// for the caller and names no types of this program.
+func decodeStrict(body []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return forCaller(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.Newf("there is more behind the JSON value, from byte %d on", dec.InputOffset())
+	}
+	return nil
+}
+
+// forCaller returns a decoding error in the caller's terms.
+func forCaller(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &wrongType) && wrongType.Field != "":
+		return errors.Newf("%s can't be a %s", wrongType.Field, wrongType.Value)
+	case errors.As(err, &wrongType):
+		return errors.Newf("a JSON object is expected, not a %s", wrongType.Value)
+	case errors.As(err, &syntax):
+		return errors.Newf("%s, at byte %d", syntax, syntax.Offset)
+	case errors.Is(err, io.EOF):
+		return errors.New("it is empty")
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return errors.New("it ends too early")
+	}
+	return errors.New(shorten(err.Error()))
+}
+
+// shorten bounds a caller's text that is repeated to it.
+func shorten(s string) string {
+	if len(s) <= shownText {
+		return s
+	}
+	return s[:shownText] + "..."
+}
+
+// checkJob decodes a job and checks it against the configuration. All failures are
+// NotRun and the request's own fault.
+func checkJob(x *config.Index, body []byte) (*schema.Job, *schema.Kind, *verdict.Failure) {
+	bad := func(r verdict.Reason, format string, args ...any) (*schema.Job, *schema.Kind, *verdict.Failure) {
+		return nil, nil, verdict.New(verdict.NotRun, r, format, args...)
+	}
+	j, err := decodeJob(body)
+	if err != nil {
+		return bad(verdict.BadRequest, "the body is not one job in JSON: %s", err)
+	}
+	kind := x.Kind(j.Kind)
+	limits := x.Document().GetLimits()
+	switch {
+	case kind == nil:
+		return bad(verdict.UnknownKind, "kind %q is not in the configuration; name one that is", shorten(j.Kind))
+	case len(j.Tasks) == 0:
+		return bad(verdict.BadRequest, "the job has no tasks; send at least one")
+	case len(j.Tasks) > int(limits.GetMaxTasks()):
+		return bad(verdict.TooManyTasks, "the job has %d tasks, at most %d are accepted; split it", len(j.Tasks), limits.GetMaxTasks())
+	case j.DeadlineMs < 0 || j.DeadlineMs > int64(limits.GetMaxDeadlineMs()):
+		return bad(verdict.BadRequest, "deadline_ms is %d, accepted are 1 to %d, or 0 for the kind's own", j.DeadlineMs, limits.GetMaxDeadlineMs())
+	}
+	if _, ok := urgency(j.Urgency, kind); !ok {
+		return bad(verdict.BadRequest, "urgency is %q, accepted are high, normal and low", shorten(j.Urgency))
+	}
+	return j, kind, nil
+}
+
+// urgency returns the urgency of a job: its own, or its kind's.
+func urgency(name string, kind *schema.Kind) (sched.Urgency, bool) {
+	switch name {
+	case "high":
+		return sched.High, true
+	case "normal":
+		return sched.Normal, true
+	case "low":
+		return sched.Low, true
+	case "":
+		return kindUrgency(kind), true
+	}
+	return 0, false
+}
+
+func kindUrgency(kind *schema.Kind) sched.Urgency {
+	switch kind.GetUrgency() {
+	case schema.Urgency_URGENCY_HIGH:
+		return sched.High
+	case schema.Urgency_URGENCY_LOW:
+		return sched.Low
+	}
+	return sched.Normal
+}
+
+// payloads returns the tasks' payloads; a task without one gets null.
+func payloads(j *schema.Job) []json.RawMessage {
+	p := make([]json.RawMessage, len(j.Tasks))
+	for i, t := range j.Tasks {
+		p[i] = t.Payload
+		if len(p[i]) == 0 {
+			p[i] = json.RawMessage("null")
+		}
+	}
+	return p
+}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -12,6 +12,8 @@
 	verdict.IdentifierBad:     http.StatusBadRequest,
 	verdict.Unauthorized:      http.StatusUnauthorized,
 	verdict.IdentifierUnknown: http.StatusNotFound,
+	verdict.NotFound:          http.StatusNotFound,
+	verdict.MethodNotAllowed:  http.StatusMethodNotAllowed,
 	verdict.IdentifierReused:  http.StatusConflict,
 	verdict.IdentifierExpired: http.StatusGone,
 	verdict.Canceled:          http.StatusGone,
--- a/submission/id.go
+++ b/submission/id.go
@@ -7,6 +7,7 @@
 	"crypto/subtle"
 	"encoding/base64"
 	"encoding/binary"
+	"hash/crc32"
 	"net/netip"
 	"time"
 
@@ -18,7 +19,8 @@
 	addressSize = 16
 	nonceSize   = 16
 	macSize     = 16
-	idSize      = 1 + addressSize + 2 + 8 + 8 + nonceSize + macSize
+	sumSize     = 4
+	idSize      = 1 + addressSize + 2 + 8 + 8 + nonceSize + macSize + sumSize
 	idVersion   = 1
 	// shownPrefix is how much of an identifier's nonce may appear in logs.
 	shownPrefix = 4
@@ -49,6 +51,7 @@
 func (id ID) String() string {
 	b := id.signed()
 	b = append(b, id.mac[:]...)
+	b = binary.BigEndian.AppendUint32(b, checksum(b))
 	return base64.RawURLEncoding.EncodeToString(b)
 }
 
@@ -58,6 +61,14 @@
 	return base64.RawURLEncoding.EncodeToString(id.nonce[:shownPrefix])
 }
 
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// checksum lets any entry recognise an identifier that was damaged on its way. Only
+// the owner can check the MAC, and an identifier whose address is damaged leads to no
+// owner: its caller would be told for ever to ask again. It is no protection against
+// forging.
+func checksum(b []byte) uint32 { return crc32.Checksum(b, castagnoli) }
+
 // signed returns the bytes that the MAC covers.
 func (id ID) signed() []byte {
 	b := make([]byte, 0, idSize)
@@ -77,6 +88,9 @@
 	if err != nil || len(b) != idSize || b[0] != idVersion {
 		return ID{}, ErrMalformed
 	}
+	if sum := idSize - sumSize; checksum(b[:sum]) != binary.BigEndian.Uint32(b[sum:]) {
+		return ID{}, ErrMalformed
+	}
 	b = b[1:]
 	addr := netip.AddrFrom16([addressSize]byte(b[:addressSize])).Unmap()
 	b = b[addressSize:]
@@ -92,7 +106,7 @@
 	id.Minted = time.Duration(ms) * time.Millisecond
 	b = b[8:]
 	copy(id.nonce[:], b)
-	copy(id.mac[:], b[nonceSize:])
+	copy(id.mac[:], b[nonceSize:nonceSize+macSize])
 	return id, nil
 }
 
--- a/submission/table.go
+++ b/submission/table.go
@@ -47,6 +47,16 @@
 // Ending returns the ending; only valid once Done is closed.
 func (r *Record) Ending() Ending { return r.ending }
 
+// Matches returns an IdentifierReused failure (NotRun) unless digest is that of the
+// record's own request.
+func (r *Record) Matches(digest Digest) *verdict.Failure {
+	if r.Digest == digest {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.IdentifierReused,
+		"another body was sent under this identifier before; reserve a new one")
+}
+
 // TableConfig holds the settings of a table.
 type TableConfig struct {
 	// Window is the time after minting within which an identifier must be used first.
@@ -86,27 +96,25 @@
 // Begin finds the record of a verified identifier or makes it; first tells that it
 // was made, which gives the right to start its tasks and must be followed by End.
 //
-// Errors, all NotRun: IdentifierReused for another body under the identifier,
-// IdentifierExpired when it was not used within the window, AnswersFull at the bound
-// of kept answers.
+// Errors: IdentifierReused (NotRun) for another body under the identifier,
+// IdentifierExpired (MayHaveRun) when the window is over and there is no record,
+// AnswersFull (NotRun) at the bound of kept answers.
 func (t *Table) Begin(id ID, team string, digest Digest, now time.Duration) (r *Record, first bool, err *verdict.Failure) {
 	text := id.String()
 	s := t.shard(text)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r := s.records[text]; r != nil {
-		if r.Digest != digest {
-			return nil, false, verdict.New(verdict.NotRun, verdict.IdentifierReused,
-				"another body was sent under this identifier before; reserve a new one")
-		}
-		return r, false, nil
+		return r, false, r.Matches(digest)
 	}
 	// Without this check a late copy of a request would start it again once the
 	// record is gone. The record is kept until the window is over, so a copy always
-	// meets the record or an expired identifier.
+	// meets the record or an expired identifier. The verdict is MayHaveRun, for an
+	// earlier request may have run whose record is gone: told "not run", its caller
+	// would submit the same work again.
 	if now > id.Minted+t.config.Window {
-		return nil, false, verdict.New(verdict.NotRun, verdict.IdentifierExpired,
-			"the identifier was not used within %s; nothing was started by this request; ask for the earlier answer with GET or reserve a new identifier", t.config.Window)
+		return nil, false, verdict.New(verdict.MayHaveRun, verdict.IdentifierExpired,
+			"the identifier's %s are over; this request started nothing, but an earlier one may have; if there was none, reserve a new identifier", t.config.Window)
 	}
 	if t.bytes.Load() >= t.config.MaxBytes {
 		return nil, false, verdict.New(verdict.NotRun, verdict.AnswersFull,
--- /dev/null
+++ b/test/path/badinput_test.go
@@ -0,0 +1,303 @@
+package path
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+)
+
+// request is one raw request of a caller.
+type request struct {
+	method, path, token, body string
+}
+
+// answer is the reply to a raw request.
+type answer struct {
+	schema.Answer
+	status int
+	header http.Header
+	text   string
+}
+
+// send sends a raw request and checks that the reply is one JSON object.
+func send(t *testing.T, e *cluster.Entry, r request) answer {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), r.method, e.CallerURL+r.path, strings.NewReader(r.body))
+	assert.NilError(t, err)
+	if r.token != "" {
+		req.Header.Set("Authorization", "Bearer "+r.token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	a := answer{status: resp.StatusCode, header: resp.Header, text: string(b)}
+	assert.NilError(t, json.Unmarshal(b, &a.Answer), "%s %s answered %d %q", r.method, r.path, a.status, b)
+	return a
+}
+
+// reserve reserves one identifier.
+func reserve(t *testing.T, e *cluster.Entry, token string) string {
+	t.Helper()
+	ids, err := e.Client(token).Reserve(t.Context(), 1)
+	assert.NilError(t, err)
+	return ids[0]
+}
+
+// jobText returns a job as JSON.
+func jobText(t *testing.T, j schema.Job) string {
+	t.Helper()
+	b, err := json.Marshal(j)
+	assert.NilError(t, err)
+	return string(b)
+}
+
+// flip alters one character of an identifier.
+func flip(id string, at int) string {
+	c := byte('A')
+	if id[at] == c {
+		c = 'B'
+	}
+	return id[:at] + string(c) + id[at+1:]
+}
+
+// checkRefused checks a refusal: its status and reason, that it is told as not run
+// and safe to submit again, says what to do and gives nothing away.
+func checkRefused(t *testing.T, a answer, status int, reason string) {
+	t.Helper()
+	assert.Equal(t, a.status, status, a.text)
+	assert.Equal(t, a.Reason, reason, a.text)
+	assert.Equal(t, a.Outcome, client.Failed, a.text)
+	assert.Equal(t, a.Verdict, "not-run", a.text)
+	assert.Equal(t, a.Resubmit, "safe", a.text)
+	assert.Assert(t, a.Message != "" && len(a.Message) < 500, a.text)
+	for _, secret := range []string{"team-a", "team-b", "schema.", "goroutine", ".go:"} {
+		assert.Assert(t, !strings.Contains(a.text, secret), "%q in %s", secret, a.text)
+	}
+	if status >= 500 {
+		assert.Assert(t, a.header.Get("Retry-After") != "", a.text)
+	}
+}
+
+// A caller sends what can't be served, to the owner of its identifier and through
+// the other entry. It gets a 4xx that says what to do, and no task starts anywhere.
+func TestBadInputIsRefusedWithoutStart(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 1})
+	owner, other := c.Entries[0], c.Entries[1]
+	quote := jobText(t, cluster.Job(cluster.Quote, "bad", 1))
+	booking := jobText(t, cluster.Job(cluster.Booking, "bad", 1))
+	with := func(field string) string { return strings.TrimSuffix(quote, "}") + "," + field + "}" }
+
+	jobs := []struct {
+		name, body string
+		status     int
+		reason     string
+	}{
+		{"empty", ``, 400, "bad_request"},
+		{"not JSON", `kind=quote`, 400, "bad_request"},
+		{"cut", quote[:len(quote)-5], 400, "bad_request"},
+		{"not an object", `[1]`, 400, "bad_request"},
+		{"null", `null`, 422, "unknown_kind"},
+		{"wrong type", `{"kind":"quote","tasks":"all"}`, 400, "bad_request"},
+		{"unknown kind", `{"kind":"nap","tasks":[{"payload":1}]}`, 422, "unknown_kind"},
+		{"long unknown kind", `{"kind":"` + strings.Repeat("n", 10_000) + `","tasks":[{"payload":1}]}`, 422, "unknown_kind"},
+		{"no tasks", `{"kind":"quote","tasks":[]}`, 400, "bad_request"},
+		{"tasks left out", `{"kind":"quote"}`, 400, "bad_request"},
+		{"161 tasks", jobText(t, cluster.Job(cluster.Quote, "bad", 161)), 422, "too_many_tasks"},
+		{"over the limit", `{"kind":"quote","tasks":[{"payload":"` + strings.Repeat("x", 1<<20) + `"}]}`, 413, "too_large"},
+		{"deadline below 0", with(`"deadline_ms":-1`), 400, "bad_request"},
+		{"deadline too long", with(`"deadline_ms":60001`), 400, "bad_request"},
+		{"deadline no number", with(`"deadline_ms":9e99`), 400, "bad_request"},
+		{"unknown urgency", with(`"urgency":"extreme"`), 400, "bad_request"},
+		{"unknown field", with(`"prio":1`), 400, "bad_request"},
+		{"unknown task field", `{"kind":"quote","tasks":[{"payload":1,"run":2}]}`, 400, "bad_request"},
+		{"two jobs", quote + quote, 400, "bad_request"},
+		{"trailing bracket", quote + "]", 400, "bad_request"},
+		{"trailing brace", quote + "}", 400, "bad_request"},
+		{"trailing text", quote + " x", 400, "bad_request"},
+		{"nested too deep", `{"kind":"quote","tasks":[{"payload":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}]}`, 400, "bad_request"},
+	}
+	id := reserve(t, owner, cluster.Token)
+	for _, j := range jobs {
+		t.Run(j.name, func(t *testing.T) {
+			for _, e := range c.Entries {
+				checkRefused(t, send(t, e, request{"PUT", "/v1/submissions/" + id, cluster.Token, j.body}), j.status, j.reason)
+			}
+			checkRefused(t, send(t, owner, request{"POST", "/v1/jobs", cluster.Token, j.body}), j.status, j.reason)
+		})
+	}
+
+	foreign := reserve(t, owner, cluster.OtherToken)
+	requests := []struct {
+		name   string
+		r      request
+		status int
+		reason string
+	}{
+		{"cut identifier", request{"PUT", "/v1/submissions/" + id[:len(id)-1], cluster.Token, quote}, 400, "identifier_bad"},
+		{"longer identifier", request{"PUT", "/v1/submissions/" + id + "A", cluster.Token, quote}, 400, "identifier_bad"},
+		{"no identifier at all", request{"PUT", "/v1/submissions/quote-17", cluster.Token, quote}, 400, "identifier_bad"},
+		{"other team's identifier", request{"PUT", "/v1/submissions/" + foreign, cluster.Token, quote}, 404, "identifier_unknown"},
+		{"other team's identifier, asked", request{"GET", "/v1/submissions/" + foreign, cluster.Token, ""}, 404, "identifier_unknown"},
+		{"other team's identifier, canceled", request{"DELETE", "/v1/submissions/" + foreign, cluster.Token, ""}, 404, "identifier_unknown"},
+		{"unused identifier, asked", request{"GET", "/v1/submissions/" + id, cluster.Token, ""}, 404, "identifier_unknown"},
+		{"unused identifier, canceled", request{"DELETE", "/v1/submissions/" + id, cluster.Token, ""}, 404, "identifier_unknown"},
+		{"one call not allowed", request{"POST", "/v1/jobs", cluster.Token, booking}, 422, "reserve_first"},
+		{"no token", request{"PUT", "/v1/submissions/" + id, "", quote}, 401, "unauthorized"},
+		{"wrong token", request{"PUT", "/v1/submissions/" + id, "token-c", quote}, 401, "unauthorized"},
+		{"no token, unknown path", request{"GET", "/v2", "", ""}, 401, "unauthorized"},
+		{"unknown path", request{"GET", "/v2/jobs", cluster.Token, ""}, 404, "not_found"},
+		{"trailing slash", request{"POST", "/v1/submissions/", cluster.Token, ""}, 404, "not_found"},
+		{"wrong method", request{"GET", "/v1/jobs", cluster.Token, ""}, 405, "method_not_allowed"},
+		{"wrong method on an identifier", request{"POST", "/v1/submissions/" + id, cluster.Token, quote}, 405, "method_not_allowed"},
+		{"none reserved", request{"POST", "/v1/submissions", cluster.Token, `{"count":0}`}, 400, "bad_request"},
+		{"too many reserved", request{"POST", "/v1/submissions", cluster.Token, `{"count":1001}`}, 400, "bad_request"},
+		{"count no number", request{"POST", "/v1/submissions", cluster.Token, `{"count":"two"}`}, 400, "bad_request"},
+		{"unknown field in a reservation", request{"POST", "/v1/submissions", cluster.Token, `{"number":2}`}, 400, "bad_request"},
+		{"long reservation", request{"POST", "/v1/submissions", cluster.Token, strings.Repeat(" ", 5000)}, 413, "too_large"},
+	}
+	for at := 0; at < len(id); at += 7 {
+		requests = append(requests, struct {
+			name   string
+			r      request
+			status int
+			reason string
+		}{fmt.Sprintf("identifier altered at %d", at), request{"PUT", "/v1/submissions/" + flip(id, at), cluster.Token, quote}, 400, "identifier_bad"})
+	}
+	for _, r := range requests {
+		t.Run(r.name, func(t *testing.T) {
+			for _, e := range c.Entries {
+				checkRefused(t, send(t, e, r.r), r.status, r.reason)
+			}
+		})
+	}
+	assert.Equal(t, c.Witness().Starts, int64(0))
+
+	// The identifier is still good: refusals left no record behind.
+	r, err := other.Client(cluster.Token).Put(t.Context(), id, cluster.Job(cluster.Booking, "good", 2))
+	assert.NilError(t, err)
+	cluster.CheckWhole(t, cluster.Job(cluster.Booking, "good", 2), r)
+}
+
+// A caller knows another team's identifier and asks for its answer while there is
+// none and when there is one. What it is told is the same both times, byte for byte.
+func TestOtherTeamsIdentifierTellsNothing(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 1})
+	job := cluster.Job(cluster.Booking, "theirs", 1)
+	id := reserve(t, c.Entries[0], cluster.OtherToken)
+	ask := func() []string {
+		var told []string
+		for _, e := range c.Entries {
+			for _, method := range []string{"GET", "DELETE", "PUT"} {
+				a := send(t, e, request{method, "/v1/submissions/" + id, cluster.Token, jobText(t, job)})
+				checkRefused(t, a, 404, "identifier_unknown")
+				told = append(told, a.text)
+			}
+		}
+		return told
+	}
+	before := ask()
+	r, err := c.Entries[1].Client(cluster.OtherToken).Put(t.Context(), id, job)
+	assert.NilError(t, err)
+	cluster.CheckWhole(t, job, r)
+	assert.DeepEqual(t, ask(), before)
+	assert.Equal(t, c.Witness().Starts, int64(1))
+}
+
+// A caller sends another job under an identifier that ran one. The second is refused
+// with 409 at once, while the first runs and after it ended, and does not start.
+func TestUsedIdentifierTakesNoOtherBody(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 1, RunTime: time.Second})
+	first, second := cluster.Job(cluster.Booking, "first", 1), cluster.Job(cluster.Booking, "second", 1)
+	id := reserve(t, c.Entries[0], cluster.Token)
+	done := make(chan client.Reply, 1)
+	go func() {
+		r, err := c.Entries[0].Client(cluster.Token).Put(t.Context(), id, first)
+		assert.Check(t, err)
+		done <- r
+	}()
+	cluster.Eventually(t, 10*time.Second, "the first job runs", func() bool { return c.Witness().Starts == 1 })
+	put := request{"PUT", "/v1/submissions/" + id, cluster.Token, jobText(t, second)}
+	for _, e := range c.Entries {
+		checkReused(t, send(t, e, put))
+	}
+	cluster.CheckWhole(t, first, <-done)
+	for _, e := range c.Entries {
+		checkReused(t, send(t, e, put))
+	}
+	assert.Equal(t, c.Witness().Starts, int64(1))
+}
+
+// checkReused checks the refusal of another body. The identifier's own job may have
+// run, but the refused request did not.
+func checkReused(t *testing.T, a answer) {
+	t.Helper()
+	checkRefused(t, a, 409, "identifier_reused")
+}
+
+// The same booking is sent twice at once to two entries, as a balancer does that
+// repeats a request. It runs once and both callers get the same answer.
+func TestSamePutAtTwoEntriesRunsOnce(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 2, Entries: 1, Workers: 1})
+	const rounds = 20
+	for n := range rounds {
+		job := cluster.Job(cluster.Booking, fmt.Sprint(n), 3)
+		id := reserve(t, c.Entries[n%2], cluster.Token)
+		var answers [2]client.Reply
+		var wg sync.WaitGroup
+		for i, e := range c.Entries {
+			wg.Go(func() {
+				r, err := e.Client(cluster.Token).Put(t.Context(), id, job)
+				assert.Check(t, err)
+				answers[i] = r
+			})
+		}
+		wg.Wait()
+		cluster.CheckWhole(t, job, answers[0])
+		assert.DeepEqual(t, answers[0], answers[1])
+	}
+	w := c.Witness()
+	assert.Equal(t, w.Starts, int64(3*rounds))
+	assert.Equal(t, w.Doubled, int64(0))
+}
+
+// A caller that lost its answer comes back after the identifier's window and the
+// answer's retention are over. The owner remembers nothing, so it can't say "not
+// run": the booking would be made twice. It starts nothing and says that it may have.
+func TestExpiredIdentifierStartsNothing(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{
+		Domains: 1, Entries: 2, Workers: 1,
+		EntryFlags: []string{"--identifier-window=1s", "--answer-retention=1s"},
+	})
+	job := cluster.Job(cluster.Booking, "late", 1)
+	id := reserve(t, c.Entries[0], cluster.Token)
+	r, err := c.Entries[0].Client(cluster.Token).Put(t.Context(), id, job)
+	assert.NilError(t, err)
+	if r.Status != http.StatusGone { // on a busy machine the window may be over already
+		cluster.CheckWhole(t, job, r)
+	}
+	starts := c.Witness().Starts
+	for _, e := range c.Entries {
+		cluster.Eventually(t, 10*time.Second, "the identifier has expired", func() bool {
+			return send(t, e, request{"GET", "/v1/submissions/" + id, cluster.Token, ""}).status == http.StatusGone
+		})
+		a := send(t, e, request{"PUT", "/v1/submissions/" + id, cluster.Token, jobText(t, job)})
+		assert.Equal(t, a.status, http.StatusGone, a.text)
+		assert.Equal(t, a.Reason, "identifier_expired", a.text)
+		assert.Equal(t, a.Verdict, "may-have-run", a.text)
+		assert.Equal(t, a.Resubmit, "unsafe", a.text)
+	}
+	assert.Equal(t, c.Witness().Starts, starts)
+}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -17,6 +17,8 @@
 	IdentifierUnknown Reason = "identifier_unknown"
 	IdentifierReused  Reason = "identifier_reused"
 	ReserveFirst      Reason = "reserve_first"
+	NotFound          Reason = "not_found"
+	MethodNotAllowed  Reason = "method_not_allowed"
 )
 
 // Reasons of refusal: no room now.
