--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 	Dev     devCommand     `cmd:"" help:"Run an entry, a stand-in platform and stand-in backend servers in one process."`
 	Submit  submitCommand  `cmd:"" help:"Submit a job and print its answer."`
 	Status  statusCommand  `cmd:"" help:"Show the state of an entry."`
+	Load    loadCommand    `cmd:"" help:"Measure entries under load."`
 	Standin standinCommand `cmd:"" help:"Run a stand-in of an outside system, for tests."`
 }
 
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -26,6 +26,8 @@
 	jobs  map[sched.JobKey]*jobRun
 	calls map[callKey]context.CancelFunc
 	next  sched.JobKey
+	// halted is set once nothing may start or end any more.
+	halted bool
 }
 
 // callKey identifies a task that is being run.
@@ -46,18 +48,29 @@
 	finish func([]json.RawMessage, *verdict.Failure)
 }
 
-func newDispatcher(c *clock.Clock, client *backend.Client, m *Metrics) *dispatcher {
+func newDispatcher(c *clock.Clock, client *backend.Client, m *Metrics, s sched.Config) *dispatcher {
 	return &dispatcher{
 		clock:     c,
 		client:    client,
 		metrics:   m,
 		onLeaving: func(string) {},
-		sched:     sched.New(sched.DefaultConfig()),
+		sched:     sched.New(s),
 		jobs:      make(map[sched.JobKey]*jobRun),
 		calls:     make(map[callKey]context.CancelFunc),
 	}
 }
 
+// halt makes the dispatcher act on nothing any more and breaks off its calls, as when
+// the process dies.
+func (d *dispatcher) halt() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.halted = true
+	for _, cancel := range d.calls {
+		cancel()
+	}
+}
+
 // submit hands a job to the scheduler; finish is called exactly once unless the job
 // is refused.
 func (d *dispatcher) submit(j sched.Job, r *jobRun) (sched.JobKey, *verdict.Failure) {
@@ -94,6 +107,10 @@
 // step runs one event under the lock and carries out the commands that follow.
 func (d *dispatcher) step(event func(now time.Duration)) {
 	d.mu.Lock()
+	if d.halted {
+		d.mu.Unlock()
+		return
+	}
 	event(d.clock.Now())
 	actions := d.commands(d.sched.Ready())
 	d.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/lavendercleat/lavendercleat/internal/peer"
 	"github.com/lavendercleat/lavendercleat/internal/platform"
 	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/sched"
 	"github.com/lavendercleat/lavendercleat/schema"
 	"github.com/lavendercleat/lavendercleat/submission"
 	"github.com/lavendercleat/lavendercleat/verdict"
@@ -31,6 +32,7 @@
 // Entry is one entry daemon.
 type Entry struct {
 	settings schema.EntrySettings
+	sched    sched.Config
 	log      logrus.FieldLogger
 	clock    *clock.Clock
 	metrics  *Metrics
@@ -52,11 +54,18 @@
 
 // New puts an entry together; Start starts it.
 func New(c schema.EntrySettings, cred peer.Credentials, log *logrus.Logger) (*Entry, error) {
+	return NewWithScheduler(c, cred, log, sched.DefaultConfig())
+}
+
+// NewWithScheduler puts an entry together whose scheduler has other settings than the
+// default ones, for experiments.
+func NewWithScheduler(c schema.EntrySettings, cred peer.Credentials, log *logrus.Logger, s sched.Config) (*Entry, error) {
 	if err := CheckSettings(c); err != nil {
 		return nil, err
 	}
 	e := &Entry{
 		settings: c,
+		sched:    s,
 		log:      log,
 		clock:    clock.New(),
 		metrics:  NewMetrics(),
@@ -85,7 +94,7 @@
 // assemble connects the parts; the peer address must be known.
 func (e *Entry) assemble(self netip.AddrPort) {
 	minter := submission.NewMinter(self)
-	d := newDispatcher(e.clock, e.backend, e.metrics)
+	d := newDispatcher(e.clock, e.backend, e.metrics, e.sched)
 	process := member.Process{Address: self, Incarnation: minter.Incarnation()}
 	e.syncer = &syncer{state: e.state, platform: e.platform, client: e.client, log: e.log, metrics: e.metrics}
 	e.members = e.newMembership(process)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -147,6 +147,13 @@
 	return err
 }
 
+// Abort breaks everything off at once, as when the process dies: callers get no
+// answer and nothing is handed over. It is meant for experiments.
+func (e *Entry) Abort() error {
+	e.workers.dispatcher.halt()
+	return e.close()
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/internal/load/counters.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	standin "github.com/lavendercleat/lavendercleat/internal/standin/backend"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Names of the entries' counters.
+const (
+	metricRetries  = "lavendercleat_retries_total"
+	metricMessages = "lavendercleat_peer_messages_total"
+	metricBorrows  = "lavendercleat_borrows_total"
+	// borrowNothing labels requests for slots that brought nothing.
+	borrowNothing = "nothing"
+	// retryRefused and retryLeaving label retries after a worker's refusal, which the
+	// backend servers count as well.
+	retryRefused = "worker_refused"
+	retryLeaving = "worker_leaving"
+)
+
+// counters is the sum over all entries and backend servers.
+type counters struct {
+	retries  map[string]int64
+	messages map[string]int64
+	borrows  map[string]int64
+	witness  standin.Witness
+}
+
+// source reads counters.
+type source interface {
+	read(ctx context.Context) (counters, error)
+}
+
+// remote reads counters over HTTP.
+type remote struct {
+	metrics  []string
+	backends []netip.AddrPort
+}
+
+func (r remote) read(ctx context.Context) (counters, error) {
+	c := newCounters()
+	for _, u := range r.metrics {
+		if err := c.addMetrics(ctx, u); err != nil {
+			return c, errors.Wrapf(err, "reading %s", u)
+		}
+	}
+	for _, b := range r.backends {
+		body, err := fetch(ctx, "http://"+b.String()+"/admin/witness?totals=1")
+		if err != nil {
+			return c, errors.Wrapf(err, "asking backend server %s", b)
+		}
+		var w standin.Witness
+		if err := json.Unmarshal(body, &w); err != nil {
+			return c, errors.Wrapf(err, "asking backend server %s", b)
+		}
+		c.addWitness(w)
+	}
+	return c, nil
+}
+
+func newCounters() counters {
+	return counters{retries: map[string]int64{}, messages: map[string]int64{}, borrows: map[string]int64{}}
+}
+
+func fetch(ctx context.Context, url string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("%s", resp.Status)
+	}
+	return io.ReadAll(resp.Body)
+}
+
+// addMetrics adds one entry's counters.
+func (c *counters) addMetrics(ctx context.Context, url string) error {
+	body, err := fetch(ctx, url)
+	if err != nil {
+		return err
+	}
+	return c.parse(string(body))
+}
+
+// parse adds counters in the Prometheus text format.
+func (c *counters) parse(text string) error {
+	p := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := p.TextToMetricFamilies(strings.NewReader(text))
+	if err != nil {
+		return errors.Wrap(err, "metrics")
+	}
+	addLabeled(c.retries, families[metricRetries])
+	addLabeled(c.messages, families[metricMessages])
+	addLabeled(c.borrows, families[metricBorrows])
+	return nil
+}
+
+// addLabeled adds a counter with one label.
+func addLabeled(m map[string]int64, f *dto.MetricFamily) {
+	for _, x := range f.GetMetric() {
+		if len(x.GetLabel()) == 1 {
+			m[x.GetLabel()[0].GetValue()] += int64(x.GetUntyped().GetValue())
+		}
+	}
+}
+
+func (c *counters) addWitness(w standin.Witness) {
+	c.witness.Starts += w.Starts
+	c.witness.Doubled += w.Doubled
+	c.witness.Refused += w.Refused
+	c.witness.Aborted += w.Aborted
+	c.witness.BusyMS += w.BusyMS
+}
+
+// since returns what was added since before.
+func (c counters) since(before counters) counters {
+	d := newCounters()
+	d.retries = difference(c.retries, before.retries)
+	d.messages = difference(c.messages, before.messages)
+	d.borrows = difference(c.borrows, before.borrows)
+	d.witness = c.witness
+	d.witness.Starts -= before.witness.Starts
+	d.witness.Doubled -= before.witness.Doubled
+	d.witness.Refused -= before.witness.Refused
+	d.witness.Aborted -= before.witness.Aborted
+	d.witness.BusyMS -= before.witness.BusyMS
+	return d
+}
+
+// difference subtracts; an entry that died takes its counters with it, so a negative
+// difference counts as none.
+func difference(after, before map[string]int64) map[string]int64 {
+	d := maps.Clone(after)
+	for k, n := range before {
+		d[k] = max(d[k]-n, 0)
+	}
+	maps.DeleteFunc(d, func(_ string, n int64) bool { return n == 0 })
+	return d
+}
+
+// waste returns the messages and the work without use.
+func (c counters) waste(usefulSeconds float64) schema.LoadWaste {
+	w := schema.LoadWaste{
+		Starts:           c.witness.Starts,
+		Doubled:          c.witness.Doubled,
+		RefusedByWorkers: c.witness.Refused,
+		Retries:          counts(c.retries),
+		EmptyBorrows:     c.borrows[borrowNothing],
+		PeerMessages:     counts(c.messages),
+		BusySeconds:      float64(c.witness.BusyMS) / 1000,
+	}
+	// A refusal is seen by both ends; it is one wasted exchange.
+	wasted := max(w.RefusedByWorkers, c.retries[retryRefused]+c.retries[retryLeaving])
+	for reason, n := range c.retries {
+		if reason != retryRefused && reason != retryLeaving {
+			wasted += n
+		}
+	}
+	wasted += w.EmptyBorrows + w.Doubled
+	if w.Starts > 0 {
+		w.PerTask = float64(wasted) / float64(w.Starts)
+	}
+	if w.BusySeconds > 0 {
+		w.UselessWork = max(1-usefulSeconds/w.BusySeconds, 0)
+	}
+	return w
+}
--- /dev/null
+++ b/internal/load/driver.go
@@ -0,0 +1,217 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+const (
+	// unreachablePause is how long a URL that refused a connection gets no job, as a
+	// balancer would do.
+	unreachablePause = time.Second
+	// answerSlack is the time beyond its deadline for which a job's answer is awaited.
+	answerSlack = 10 * time.Second
+	// defaultWait is awaited when a job leaves the deadline to its kind.
+	defaultWait = 2 * time.Minute
+)
+
+// driver sends jobs and records how they end.
+type driver struct {
+	callers []*caller
+	turn    atomic.Uint64
+	record  *recorder
+	wg      sync.WaitGroup
+
+	mu sync.Mutex
+	// inFlight holds the jobs that can be canceled.
+	inFlight map[*flight]struct{}
+}
+
+// caller sends jobs to one URL.
+type caller struct {
+	client.Client
+	// pausedUntil is the Unix time in nanoseconds until which the URL gets no job.
+	pausedUntil atomic.Int64
+}
+
+// flight is one job under way.
+type flight struct {
+	request
+	due    time.Time
+	cancel chan struct{}
+	once   sync.Once
+}
+
+// canceled ends the caller's interest in the answer.
+func (f *flight) canceled() { f.once.Do(func() { close(f.cancel) }) }
+
+func (f *flight) isCanceled() bool {
+	select {
+	case <-f.cancel:
+		return true
+	default:
+		return false
+	}
+}
+
+func newDriver(urls []string, token string, r *recorder) *driver {
+	t := &http.Transport{MaxIdleConnsPerHost: 4096, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	d := &driver{record: r, inFlight: make(map[*flight]struct{})}
+	for _, u := range urls {
+		d.callers = append(d.callers, &caller{Client: client.Client{URL: u, Token: token, HTTP: &http.Client{Transport: t}}})
+	}
+	return d
+}
+
+// run sends jobs at a rate for some time and waits for their endings.
+func (d *driver) run(ctx context.Context, g *generator, perSecond float64, length time.Duration) {
+	start := time.Now()
+	due := start
+	for {
+		due = due.Add(g.gap(perSecond))
+		if due.Sub(start) > length || !sleepUntil(ctx, due) {
+			break
+		}
+		d.send(ctx, g.next(), due)
+	}
+	d.wg.Wait()
+}
+
+// sleepUntil waits for a time and tells whether it came.
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	wait := time.Until(t)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send sends one job without waiting for it. Its response time counts from when it
+// was due, so that a late sender doesn't make the system look faster.
+func (d *driver) send(ctx context.Context, r request, due time.Time) {
+	f := &flight{request: r, due: due, cancel: make(chan struct{})}
+	d.mu.Lock()
+	d.inFlight[f] = struct{}{}
+	d.mu.Unlock()
+	d.record.sent(f)
+	d.wg.Go(func() {
+		d.fly(ctx, f)
+		d.mu.Lock()
+		delete(d.inFlight, f)
+		d.mu.Unlock()
+	})
+}
+
+// cancelAll cancels every job under way.
+func (d *driver) cancelAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for f := range d.inFlight {
+		f.canceled()
+	}
+}
+
+// next returns the caller for the next job, passing over paused ones.
+func (d *driver) next() *caller {
+	now := time.Now().UnixNano()
+	for range d.callers {
+		c := d.callers[d.turn.Add(1)%uint64(len(d.callers))]
+		if c.pausedUntil.Load() < now {
+			return c
+		}
+	}
+	return d.callers[d.turn.Add(1)%uint64(len(d.callers))]
+}
+
+// fly sends a job and records its ending.
+func (d *driver) fly(ctx context.Context, f *flight) {
+	wait := defaultWait
+	if f.job.DeadlineMs > 0 {
+		wait = time.Duration(f.job.DeadlineMs)*time.Millisecond + answerSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if f.cancelAfter > 0 {
+		t := time.AfterFunc(f.cancelAfter, f.canceled)
+		defer t.Stop()
+	}
+	c := d.next()
+	reply, err := c.submit(ctx, f)
+	if unreachable(err) {
+		c.pausedUntil.Store(time.Now().Add(unreachablePause).UnixNano())
+	}
+	d.record.ended(f, reply, err)
+}
+
+// submit sends a job and returns its answer.
+func (c *caller) submit(ctx context.Context, f *flight) (client.Reply, error) {
+	if f.oneCall {
+		return c.oneCall(ctx, f)
+	}
+	ids, err := c.Reserve(ctx, 1)
+	if err != nil {
+		return client.Reply{}, err
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-f.cancel:
+			_, _ = c.Delete(ctx, ids[0]) // the answer to PUT tells how it ended
+		case <-done:
+		}
+	}()
+	return c.Put(ctx, ids[0], f.job)
+}
+
+// oneCall sends a job in one call, which is canceled by hanging up.
+func (c *caller) oneCall(ctx context.Context, f *flight) (client.Reply, error) {
+	ctx, hangUp := context.WithCancel(ctx)
+	defer hangUp()
+	go func() {
+		select {
+		case <-f.cancel:
+			hangUp()
+		case <-ctx.Done():
+		}
+	}()
+	return c.Do(ctx, f.job)
+}
+
+// probes is the number of idle jobs by which round trips are measured.
+const probes = 30
+
+// roundTrip measures, on an idle system, the time that a job of one empty task takes:
+// what remains of the ideal beside the longest task.
+func (d *driver) roundTrip(ctx context.Context, kind string, oneCall bool) (time.Duration, error) {
+	var times []time.Duration
+	for range probes {
+		f := &flight{request: request{oneCall: oneCall}, cancel: make(chan struct{})}
+		f.job = schema.Job{Kind: kind, Tasks: []schema.Task{{Payload: runPayload(0)}}}
+		start := time.Now()
+		reply, err := d.next().submit(ctx, f)
+		if err != nil {
+			return 0, errors.Wrap(err, "probing the idle system")
+		}
+		if reply.Outcome != client.Complete {
+			return 0, errors.Newf("probing the idle system: a job of kind %q failed: %s %s", kind, reply.Reason, reply.Message)
+		}
+		times = append(times, time.Since(start))
+	}
+	return median(times), nil
+}
--- /dev/null
+++ b/internal/load/experiment.go
@@ -0,0 +1,167 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	standin "github.com/lavendercleat/lavendercleat/internal/standin/backend"
+	"github.com/lavendercleat/lavendercleat/sched"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Faults of an experiment.
+const (
+	faultNone = "none"
+	// faultBlackHole makes one worker fail everything at once.
+	faultBlackHole = "black-hole"
+	// faultStraggler makes one worker several times slower.
+	faultStraggler = "straggler"
+	// faultCancelWave cancels every job under way.
+	faultCancelWave = "cancel-wave"
+	// faultEntryKilled kills one entry.
+	faultEntryKilled = "entry-killed"
+	// stragglerFactor is how much slower a straggler is.
+	stragglerFactor = 5
+)
+
+// checkExperiment returns an error that names the flag and the accepted values.
+func checkExperiment(s schema.ExperimentSettings) error {
+	for _, b := range []struct {
+		flag      string
+		value     int32
+		low, high int32
+	}{
+		{"domains", s.Domains, 1, 16},
+		{"entries", s.Entries, 1, 16},
+		{"workers", s.Workers, s.Domains, 2000},
+		{"slots", s.Slots, 1, 1024},
+		{"connections", s.Connections, 1, 4096},
+		{"runs", s.Runs, 1, 100},
+	} {
+		if b.value < b.low || b.value > b.high {
+			return errors.Newf("--%s is %d; accepted are %d to %d", b.flag, b.value, b.low, b.high)
+		}
+	}
+	for _, l := range s.Load {
+		if l <= 0 || l > 10 {
+			return errors.Newf("--load is %v; accepted are shares of the slots above 0 up to 10", l)
+		}
+	}
+	if s.Fault == faultEntryKilled && s.OneEntry {
+		return errors.New("--fault entry-killed with --one-entry leaves nothing to measure; give one of them")
+	}
+	return nil
+}
+
+// Experiment runs every combination of load and policy and calls done with each
+// report, in order.
+func Experiment(ctx context.Context, s schema.ExperimentSettings, p schema.LoadProfile, progress io.Writer, done func(schema.LoadReport) error) error {
+	if err := checkExperiment(s); err != nil {
+		return err
+	}
+	for run := range s.Runs {
+		for _, load := range s.Load {
+			if err := runPolicies(ctx, s, p, load, s.Seed+uint64(run), progress, done); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// runPolicies runs one load under every policy, one after another or side by side.
+// Side by side the policies share the machine's good and bad moments.
+func runPolicies(ctx context.Context, s schema.ExperimentSettings, p schema.LoadProfile, load float64, seed uint64, progress io.Writer, done func(schema.LoadReport) error) error {
+	reports := make([]schema.LoadReport, len(s.Policy))
+	var group errgroup.Group
+	if !s.SideBySide {
+		group.SetLimit(1)
+	} else if len(s.Policy) > 1 {
+		progress = nil // the lines would overwrite each other
+	}
+	for i, policy := range s.Policy {
+		group.Go(func() (err error) {
+			reports[i], err = runExperiment(ctx, s, p, load, policy, seed, progress)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	for _, r := range reports {
+		if err := done(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runExperiment starts a fresh system, runs one load and stops the system.
+func runExperiment(ctx context.Context, s schema.ExperimentSettings, p schema.LoadProfile, load float64, policy string, seed uint64, progress io.Writer) (schema.LoadReport, error) {
+	c, err := schedulerConfig(policy)
+	if err != nil {
+		return schema.LoadReport{}, err
+	}
+	sys, err := startSystem(ctx, s, p, c)
+	if err != nil {
+		return schema.LoadReport{}, err
+	}
+	r := sys.run(p, load)
+	r.Name = runName(s, load, policy)
+	r.Seed, r.Progress = seed, progress
+	report, err := r.Do(ctx)
+	return report, errors.CombineErrors(err, sys.stop())
+}
+
+func runName(s schema.ExperimentSettings, load float64, policy string) string {
+	name := fmt.Sprintf("%.0f%% %s", 100*load, policy)
+	if s.Fault != faultNone {
+		name += " " + s.Fault
+	}
+	if s.OneEntry {
+		name += " one-entry"
+	}
+	return name
+}
+
+// run returns the run of a load, given as a share of the system's slots.
+func (s *system) run(p schema.LoadProfile, load float64) Run {
+	slots := float64(s.settings.Workers * s.settings.Slots)
+	r := Run{
+		Profile: p, URLs: s.urls(), Token: loadToken,
+		JobsPerSecond: load * slots / meanWork(p).Seconds(),
+		Duration:      s.settings.Duration, WarmUp: s.settings.WarmUp,
+		counters: s,
+	}
+	if s.settings.Fault != faultNone {
+		r.fault = func(d *driver) { s.inject(s.settings.Fault, d) }
+	}
+	return r
+}
+
+// schedulerConfig returns the scheduler's settings under a policy.
+func schedulerConfig(policy string) (sched.Config, error) {
+	c := sched.DefaultConfig()
+	if policy != "default" {
+		return c, errors.Newf("--policy is %q; accepted are default", policy)
+	}
+	return c, nil
+}
+
+// inject causes a fault.
+func (s *system) inject(fault string, d *driver) {
+	switch fault {
+	case faultBlackHole:
+		s.fleet.Servers[0].SetBehaviour(standin.Behaviour{Mode: standin.Fail})
+	case faultStraggler:
+		s.fleet.Servers[0].SetBehaviour(standin.Behaviour{Mode: standin.Serve, SlowBy: stragglerFactor})
+	case faultCancelWave:
+		d.cancelAll()
+	case faultEntryKilled:
+		s.kill(0)
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Run describes one run of a load.
+type Run struct {
+	// Name of the run in the report.
+	Name    string
+	Profile schema.LoadProfile
+	// URLs of the caller interfaces, and the team's token.
+	URLs  []string
+	Token string
+	// JobsPerSecond is the mean rate.
+	JobsPerSecond float64
+	Duration      time.Duration
+	WarmUp        time.Duration
+	Seed          uint64
+	// Progress is written to every second; nil for none.
+	Progress io.Writer
+	// counters are read before and after.
+	counters source
+	// fault is called once, a third into the duration; nil for none.
+	fault func(d *driver)
+}
+
+// Remote returns the run of the settings against running entries.
+func Remote(s schema.LoadSettings, p schema.LoadProfile, progress io.Writer) Run {
+	return Run{
+		Name: "load", Profile: p, URLs: s.Urls, Token: s.Token, JobsPerSecond: s.JobsPerSecond,
+		Duration: s.Duration, WarmUp: s.WarmUp, Seed: s.Seed, Progress: progress,
+		counters: remote{metrics: s.MetricsUrls, backends: s.Backends},
+	}
+}
+
+// check returns an error that names the flag and the accepted values.
+func (r Run) check() error {
+	switch {
+	case r.JobsPerSecond <= 0:
+		return errors.Newf("--jobs-per-second is %v; accepted are numbers above 0", r.JobsPerSecond)
+	case r.Duration < time.Second:
+		return errors.Newf("--duration is %s; accepted are 1s and more", r.Duration)
+	case r.WarmUp < 0:
+		return errors.Newf("--warm-up is %s; accepted are 0s and more", r.WarmUp)
+	}
+	return CheckProfile(r.Profile)
+}
+
+// Do runs the load and returns its report.
+func (r Run) Do(ctx context.Context) (schema.LoadReport, error) {
+	if err := r.check(); err != nil {
+		return schema.LoadReport{}, err
+	}
+	roundTrip, err := r.roundTrips(ctx)
+	if err != nil {
+		return schema.LoadReport{}, err
+	}
+	before, err := r.counters.read(ctx)
+	if err != nil {
+		return schema.LoadReport{}, err
+	}
+	used := readUsage()
+	record := newRecorder(r.Profile, r.WarmUp, roundTrip)
+	r.drive(ctx, record)
+	machine := readUsage().since(used)
+	after, err := r.counters.read(ctx)
+	if err != nil {
+		return schema.LoadReport{}, err
+	}
+	out := record.result(r.Profile)
+	out.Name, out.Seed, out.JobsPerSecond = r.Name, r.Seed, r.JobsPerSecond
+	out.Seconds = r.Duration.Seconds()
+	out.OfferedSlots = record.offeredWork().Seconds() / out.Seconds
+	out.Waste = after.since(before).waste(record.usefulWork().Seconds())
+	out.Machine = machine
+	return out, nil
+}
+
+// roundTrips measures the idle system, for the ways of sending that the profile uses.
+func (r Run) roundTrips(ctx context.Context) (map[bool]time.Duration, error) {
+	d := newDriver(r.URLs, r.Token, nil)
+	times := make(map[bool]time.Duration)
+	for _, c := range r.Profile.Classes {
+		if _, measured := times[c.OneCall]; measured {
+			continue
+		}
+		t, err := d.roundTrip(ctx, c.Kind, c.OneCall)
+		if err != nil {
+			return nil, err
+		}
+		times[c.OneCall] = t
+	}
+	return times, nil
+}
+
+// drive sends the jobs, with progress and the fault at its time.
+func (r Run) drive(ctx context.Context, record *recorder) {
+	d := newDriver(r.URLs, r.Token, record)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if r.Progress != nil {
+		go showProgress(ctx, r.Progress, r.Name, r.WarmUp+r.Duration, record)
+	}
+	if r.fault != nil {
+		t := time.AfterFunc(r.WarmUp+r.Duration/3, func() { r.fault(d) })
+		defer t.Stop()
+	}
+	d.run(ctx, newGenerator(r.Profile, r.Seed), r.JobsPerSecond, r.WarmUp+r.Duration)
+}
--- /dev/null
+++ b/internal/load/system.go
@@ -0,0 +1,247 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/internal/entry"
+	"github.com/lavendercleat/lavendercleat/internal/peer"
+	"github.com/lavendercleat/lavendercleat/internal/platform"
+	standinbackend "github.com/lavendercleat/lavendercleat/internal/standin/backend"
+	standinplatform "github.com/lavendercleat/lavendercleat/internal/standin/platform"
+	"github.com/lavendercleat/lavendercleat/sched"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+const (
+	loadTeam  = "load"
+	loadToken = "load-token"
+	// workersPerRack of the systems that run today.
+	workersPerRack = 8
+	// settleTimeout bounds the wait until all entries know each other.
+	settleTimeout = 15 * time.Second
+)
+
+var freePort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// system is a whole system in this process: a stand-in platform, stand-in backend
+// servers and entries.
+type system struct {
+	settings schema.ExperimentSettings
+	platform *http.Server
+	url      string
+	fleet    *standinbackend.Fleet
+	entries  []*entry.Entry
+	alive    []bool
+}
+
+// startSystem starts everything and waits until every entry knows its peers.
+func startSystem(ctx context.Context, s schema.ExperimentSettings, p schema.LoadProfile, c sched.Config) (*system, error) {
+	sys := &system{settings: s}
+	if err := sys.start(ctx, p, c); err != nil {
+		return nil, errors.CombineErrors(err, sys.stop())
+	}
+	return sys, nil
+}
+
+func (s *system) start(ctx context.Context, p schema.LoadProfile, c sched.Config) error {
+	var err error
+	s.fleet, err = standinbackend.Listen(schema.BackendSettings{
+		Address: freePort, Count: s.settings.Workers, Slots: s.settings.Slots, Connections: s.settings.Connections,
+	})
+	if err != nil {
+		return err
+	}
+	server := standinplatform.NewServer()
+	if err := s.startPlatform(ctx, server, p); err != nil {
+		return err
+	}
+	if err := s.startEntries(ctx, c); err != nil {
+		return err
+	}
+	server.SetVMs(s.vms())
+	return s.settle(ctx)
+}
+
+// startPlatform starts the stand-in platform with the profile's kinds.
+func (s *system) startPlatform(ctx context.Context, server *standinplatform.Server, p schema.LoadProfile) error {
+	l, err := net.Listen("tcp", freePort.String())
+	if err != nil {
+		return err
+	}
+	s.platform = &http.Server{Handler: server, ReadHeaderTimeout: settleTimeout}
+	go s.platform.Serve(l)
+	s.url = "http://" + l.Addr().String()
+	doc := document(p)
+	if err := config.Validate(doc); err != nil {
+		return err
+	}
+	b, err := proto.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	c := platform.NewClient(s.url)
+	defer c.Close()
+	_, err = c.CompareAndSwap(ctx, entry.ConfigKey, 0, b)
+	return err
+}
+
+// document returns a configuration with the kinds of a profile.
+func document(p schema.LoadProfile) *schema.Config {
+	kinds := make(map[string]*schema.Kind)
+	for _, c := range p.Classes {
+		declared := float64(meanRun(c).Milliseconds())
+		if c.DeclaredFactor > 0 {
+			declared *= c.DeclaredFactor
+		}
+		kinds[c.Kind] = &schema.Kind{
+			Path: "/" + c.Kind, Idempotent: c.OneCall, OneCall: c.OneCall,
+			Urgency: schema.Urgency_URGENCY_NORMAL, RunTimeMs: max(uint32(declared), 1), DeadlineMs: 15_000,
+		}
+	}
+	return &schema.Config{
+		Revision: 1,
+		Kinds:    kinds,
+		Teams:    map[string]*schema.Team{loadTeam: {TokenSha256: config.HashToken(loadToken)}},
+		Limits:   &schema.Limits{MaxTasks: config.MaxTasks, MaxBodyBytes: 4 << 20, MaxDeadlineMs: 120_000},
+	}
+}
+
+func (s *system) startEntries(ctx context.Context, c sched.Config) error {
+	pem, err := peer.Generate()
+	if err != nil {
+		return err
+	}
+	cred, err := pem.Credentials()
+	if err != nil {
+		return err
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range s.settings.Domains * s.settings.Entries {
+		e, err := entry.NewWithScheduler(s.entrySettings(domain(i, s.settings.Domains)), cred, log, c)
+		if err != nil {
+			return err
+		}
+		if err := e.Start(ctx); err != nil {
+			return err
+		}
+		s.entries = append(s.entries, e)
+		s.alive = append(s.alive, true)
+	}
+	return nil
+}
+
+func domain(i, domains int32) string { return fmt.Sprintf("domain-%d", i%domains) }
+
+func (s *system) entrySettings(domain string) schema.EntrySettings {
+	return schema.EntrySettings{
+		CallerAddress: freePort, OperatorAddress: freePort, MetricsAddress: freePort, PeerAddress: freePort,
+		Domain: domain, PlatformUrl: s.url,
+		HeartbeatInterval: 500 * time.Millisecond, PeerTimeout: 2 * time.Second,
+		IdentifierWindow: time.Minute, AnswerRetention: 10 * time.Second, AnswerBytes: 1 << 30,
+		WorkerIdleTimeout: time.Second, WorkerDialTimeout: time.Second, WorkerSilenceTimeout: 4 * time.Second,
+	}
+}
+
+// vms returns the list of the entries and workers.
+func (s *system) vms() []*schema.Vm {
+	var list []*schema.Vm
+	for i, e := range s.entries {
+		list = append(list, &schema.Vm{
+			Address: e.PeerAddress().String(), Domain: domain(int32(i), s.settings.Domains), Role: schema.VmRole_VM_ROLE_ENTRY,
+		})
+	}
+	for i, a := range s.fleet.Addresses {
+		list = append(list, &schema.Vm{
+			Address: a.String(), Domain: domain(int32(i), s.settings.Domains),
+			Rack: fmt.Sprintf("rack-%d", i/workersPerRack), Role: schema.VmRole_VM_ROLE_WORKER,
+			Slots: uint32(s.settings.Slots), Connections: uint32(s.settings.Connections),
+			Resources: &schema.Resources{Cpus: 64, MemoryMb: 256 << 10},
+		})
+	}
+	return list
+}
+
+// settle waits until the entries have divided all slots among themselves.
+func (s *system) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	want := uint32(s.settings.Workers * s.settings.Slots)
+	for {
+		var slots uint32
+		ready := true
+		for _, e := range s.entries {
+			st := e.Status()
+			slots += st.GetSlots()
+			ready = ready && st.GetReady()
+		}
+		if ready && slots == want {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("the entries did not settle: they hold %d of %d slots", slots, want)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// urls returns the callers' URLs.
+func (s *system) urls() []string {
+	var urls []string
+	for _, e := range s.entries {
+		urls = append(urls, "http://"+e.CallerAddress().String())
+	}
+	if s.settings.OneEntry {
+		return urls[:1]
+	}
+	return urls
+}
+
+// read implements source.
+func (s *system) read(ctx context.Context) (counters, error) {
+	var r remote
+	for i, e := range s.entries {
+		if s.alive[i] {
+			r.metrics = append(r.metrics, "http://"+e.MetricsAddress().String()+"/metrics")
+		}
+	}
+	c, err := r.read(ctx)
+	for _, b := range s.fleet.Servers {
+		c.addWitness(b.Totals())
+	}
+	return c, err
+}
+
+// kill breaks one entry off, as when its process dies.
+func (s *system) kill(i int) {
+	s.alive[i] = false
+	_ = s.entries[i].Abort() // it is dead in any case
+}
+
+func (s *system) stop() error {
+	var err error
+	for i, e := range s.entries {
+		if s.alive[i] {
+			err = errors.CombineErrors(err, e.Abort())
+		}
+	}
+	if s.fleet != nil {
+		err = errors.CombineErrors(err, s.fleet.Close())
+	}
+	if s.platform != nil {
+		err = errors.CombineErrors(err, s.platform.Close())
+	}
+	return err
+}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -90,6 +90,8 @@
 	behaviour Behaviour
 	running   int
 	witness   Witness
+	// busy adds up the run times.
+	busy time.Duration
 }
 
 // NewServer returns a stand-in with a number of slots that serves tasks.
@@ -114,6 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.witness
+	w.BusyMS = s.busy.Milliseconds()
 	w.Tasks = make(map[string]int, len(s.witness.Tasks))
 	for k, n := range s.witness.Tasks {
 		w.Tasks[k] = n
@@ -121,12 +124,22 @@
 	return w
 }
 
+// Totals returns what ran so far, without the single tasks.
+func (s *Server) Totals() Witness {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.witness
+	w.Tasks = nil
+	w.BusyMS = s.busy.Milliseconds()
+	return w
+}
+
 func (s *Server) getWitness(c *gin.Context) {
-	w := s.Witness()
 	if c.Query("totals") != "" {
-		w.Tasks = nil
+		c.JSON(http.StatusOK, s.Totals())
+		return
 	}
-	c.JSON(http.StatusOK, w)
+	c.JSON(http.StatusOK, s.Witness())
 }
 
 func (s *Server) setBehaviour(c *gin.Context) {
@@ -170,7 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	s.witness.BusyMS += ran.Milliseconds()
+	s.busy += ran
 	if aborted {
 		s.witness.Aborted++
 	}
@@ -195,9 +208,8 @@
 	}
 	var p Payload
 	_ = json.Unmarshal(body, &p) // a payload of another shape names no behaviour
-	begin := time.Now()
-	aborted := s.run(c, b, p)
-	s.release(time.Since(begin), aborted)
+	ran, aborted := s.run(c, b, p)
+	s.release(ran, aborted)
 	if aborted {
 		return
 	}
@@ -205,8 +217,10 @@
 	s.answer(c, b, p, Result{Submission: sub, Task: task, Payload: body})
 }
 
-// run spends the run time and tells whether the caller went away meanwhile.
-func (s *Server) run(c *gin.Context, b Behaviour, p Payload) (aborted bool) {
+// run spends the run time and tells whether the caller went away meanwhile. A run that
+// was not cut short counts with the time it was to take, so that the sum over many
+// tasks doesn't grow by the lateness of timers.
+func (s *Server) run(c *gin.Context, b Behaviour, p Payload) (ran time.Duration, aborted bool) {
 	ms := b.RunMS
 	if p.RunMS != nil {
 		ms = *p.RunMS
@@ -215,23 +229,24 @@
 	if b.SlowBy > 0 {
 		d = time.Duration(float64(d) * b.SlowBy)
 	}
+	begin := time.Now()
 	switch b.Mode {
 	case Fail:
 		d = 0
 	case Stall:
 		<-c.Request.Context().Done()
-		return true
+		return time.Since(begin), true
 	}
 	if d == 0 {
-		return false
+		return 0, false
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return false
+		return d, false
 	case <-c.Request.Context().Done():
-		return true
+		return time.Since(begin), true
 	}
 }
 
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -82,3 +82,84 @@
 	// File to which each start is appended as a line "submission/task", so that it outlives a killed process; none when empty.
 	WitnessFile string `name:"witness-file" env:"LAVENDERCLEAT_WITNESS_FILE" help:"File to which each start is appended as a line \"submission/task\", so that it outlives a killed process; none when empty." optional:""`
 }
+
+// LoadSettings are the settings of a load against running entries.
+type LoadSettings struct {
+	// URLs of entries' caller interfaces; jobs go to them in turn.
+	Urls []string `name:"urls" env:"LAVENDERCLEAT_URLS" help:"URLs of entries' caller interfaces; jobs go to them in turn." required:""`
+	// URLs of entries' metrics, for the figures that callers can't see.
+	MetricsUrls []string `name:"metrics-urls" env:"LAVENDERCLEAT_METRICS_URLS" help:"URLs of entries' metrics, for the figures that callers can't see."`
+	// Addresses (IP:port) of stand-in backend servers, asked what really ran.
+	Backends []netip.AddrPort `name:"backends" env:"LAVENDERCLEAT_BACKENDS" help:"Addresses (IP:port) of stand-in backend servers, asked what really ran."`
+	// Token of the callers' team.
+	Token string `name:"token" env:"LAVENDERCLEAT_TOKEN" help:"Token of the callers' team." required:""`
+	// Jobs sent per second, whether or not earlier ones were answered.
+	JobsPerSecond float64 `name:"jobs-per-second" env:"LAVENDERCLEAT_JOBS_PER_SECOND" help:"Jobs sent per second, whether or not earlier ones were answered." default:"10"`
+	// Time for which jobs are sent, after the warm-up.
+	Duration time.Duration `name:"duration" env:"LAVENDERCLEAT_DURATION" help:"Time for which jobs are sent, after the warm-up." default:"20s"`
+	// Time at the start that is left out of the figures.
+	WarmUp time.Duration `name:"warm-up" env:"LAVENDERCLEAT_WARM_UP" help:"Time at the start that is left out of the figures." default:"3s"`
+	// Seed of the random choices.
+	Seed uint64 `name:"seed" env:"LAVENDERCLEAT_SEED" help:"Seed of the random choices." default:"1"`
+	// File with a load profile in JSON; without one the flags below make a profile of one class.
+	Profile string `name:"profile" env:"LAVENDERCLEAT_PROFILE" help:"File with a load profile in JSON; without one the flags below make a profile of one class."`
+	// Kind of the jobs.
+	Kind string `name:"kind" env:"LAVENDERCLEAT_KIND" help:"Kind of the jobs." default:"loft-quote"`
+	// Urgency of the jobs: high, normal or low; the kind's own when empty.
+	Urgency string `name:"urgency" env:"LAVENDERCLEAT_URGENCY" help:"Urgency of the jobs: high, normal or low; the kind's own when empty."`
+	// Fewest tasks of a job.
+	MinTasks int32 `name:"min-tasks" env:"LAVENDERCLEAT_MIN_TASKS" help:"Fewest tasks of a job." default:"1"`
+	// Most tasks of a job.
+	MaxTasks int32 `name:"max-tasks" env:"LAVENDERCLEAT_MAX_TASKS" help:"Most tasks of a job." default:"40"`
+	// Shortest run time of a task.
+	MinRun time.Duration `name:"min-run" env:"LAVENDERCLEAT_MIN_RUN" help:"Shortest run time of a task." default:"50ms"`
+	// Longest run time of a task.
+	MaxRun time.Duration `name:"max-run" env:"LAVENDERCLEAT_MAX_RUN" help:"Longest run time of a task." default:"1s"`
+	// Time from sending a job to its deadline; the kind's own when 0.
+	Deadline time.Duration `name:"deadline" env:"LAVENDERCLEAT_DEADLINE" help:"Time from sending a job to its deadline; the kind's own when 0." default:"0s"`
+	// Share of the jobs that their caller cancels, 0 to 1.
+	CancelShare float64 `name:"cancel-share" env:"LAVENDERCLEAT_CANCEL_SHARE" help:"Share of the jobs that their caller cancels, 0 to 1." default:"0"`
+	// Time after which such a job is canceled.
+	CancelAfter time.Duration `name:"cancel-after" env:"LAVENDERCLEAT_CANCEL_AFTER" help:"Time after which such a job is canceled." default:"100ms"`
+	// Reserve an identifier for every job; otherwise jobs are sent in one call.
+	Reserve bool `name:"reserve" env:"LAVENDERCLEAT_RESERVE" help:"Reserve an identifier for every job; otherwise jobs are sent in one call."`
+	// Print the report as JSON instead of a table.
+	Json bool `name:"json" env:"LAVENDERCLEAT_JSON" help:"Print the report as JSON instead of a table."`
+}
+
+// ExperimentSettings are the settings of an experiment: entries, backend servers and
+// platform in one process, under a load in proportion to the slots.
+type ExperimentSettings struct {
+	// Failure domains.
+	Domains int32 `name:"domains" env:"LAVENDERCLEAT_DOMAINS" help:"Failure domains." default:"3"`
+	// Entries in each failure domain.
+	Entries int32 `name:"entries" env:"LAVENDERCLEAT_ENTRIES" help:"Entries in each failure domain." default:"2"`
+	// Backend servers, spread evenly over the failure domains.
+	Workers int32 `name:"workers" env:"LAVENDERCLEAT_WORKERS" help:"Backend servers, spread evenly over the failure domains." default:"50"`
+	// Tasks a backend server runs at once.
+	Slots int32 `name:"slots" env:"LAVENDERCLEAT_SLOTS" help:"Tasks a backend server runs at once." default:"8"`
+	// Connections a backend server accepts.
+	Connections int32 `name:"connections" env:"LAVENDERCLEAT_CONNECTIONS" help:"Connections a backend server accepts." default:"64"`
+	// Offered loads, as a share of all slots; one run follows another.
+	Load []float64 `name:"load" env:"LAVENDERCLEAT_LOAD" help:"Offered loads, as a share of all slots; one run follows another." default:"0.7"`
+	// Policies of the scheduler to compare; one run follows another.
+	Policy []string `name:"policy" env:"LAVENDERCLEAT_POLICY" help:"Policies of the scheduler to compare; one run follows another." default:"default"`
+	// Fault a third into the run: none, black-hole, straggler, cancel-wave or entry-killed.
+	Fault string `name:"fault" env:"LAVENDERCLEAT_FAULT" help:"Fault a third into the run: none, black-hole, straggler, cancel-wave or entry-killed." default:"none" enum:"none,black-hole,straggler,cancel-wave,entry-killed"`
+	// Send every job to one entry instead of all in turn.
+	OneEntry bool `name:"one-entry" env:"LAVENDERCLEAT_ONE_ENTRY" help:"Send every job to one entry instead of all in turn."`
+	// Runs of each combination, with a seed of their own.
+	Runs int32 `name:"runs" env:"LAVENDERCLEAT_RUNS" help:"Runs of each combination, with a seed of their own." default:"1"`
+	// Time for which jobs are sent, after the warm-up.
+	Duration time.Duration `name:"duration" env:"LAVENDERCLEAT_DURATION" help:"Time for which jobs are sent, after the warm-up." default:"15s"`
+	// Time at the start that is left out of the figures.
+	WarmUp time.Duration `name:"warm-up" env:"LAVENDERCLEAT_WARM_UP" help:"Time at the start that is left out of the figures." default:"3s"`
+	// Seed of the first run.
+	Seed uint64 `name:"seed" env:"LAVENDERCLEAT_SEED" help:"Seed of the first run." default:"1"`
+	// File with a load profile in JSON; today's mix of jobs without one.
+	Profile string `name:"profile" env:"LAVENDERCLEAT_PROFILE" help:"File with a load profile in JSON; today's mix of jobs without one."`
+	// Print one report per line as JSON instead of a table.
+	Json bool `name:"json" env:"LAVENDERCLEAT_JSON" help:"Print one report per line as JSON instead of a table."`
+	// Run the policies of each load at the same time, each in a system of its own.
+	SideBySide bool `name:"side-by-side" env:"LAVENDERCLEAT_SIDE_BY_SIDE" help:"Run the policies of each load at the same time, each in a system of its own."`
+}
