--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,12 +41,12 @@
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var c commands
-	parser, err := kong.New(&c,
+	parser, err := kong.New(&c, append(valueMappers(),
 		kong.Name("lavendercleat"),
 		kong.Description("Dispatches jobs of sub-second tasks; every accepted job ends in one whole answer or one clear failure."),
 		kong.Writers(out, errOut),
 		kong.UsageOnError(),
-	)
+	)...)
 	if err != nil {
 		fmt.Fprintln(errOut, "lavendercleat:", err)
 		return exitUsage
@@ -54,6 +54,7 @@
 	ctx, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errOut, "lavendercleat:", err)
+		fmt.Fprintln(errOut, "lavendercleat --help lists the commands, lavendercleat COMMAND --help its settings")
 		return exitUsage
 	}
 	if err := ctx.Run(&streams{out: out, err: errOut}, &c.LogSettings); err != nil {
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -30,6 +30,8 @@
 	// devToken is the caller's token in dev, devOperatorToken the operator's.
 	devToken         = "dev-token"
 	devOperatorToken = "dev-operator-token"
+	// maxDevPort leaves room for the ports after the first.
+	maxDevPort = 65530
 )
 
 // devCommand runs everything in one process.
@@ -38,11 +40,16 @@
 	Port int  `help:"Port of the caller interface on 127.0.0.1; the operator interface and metrics get the next two. 0 picks free ports." default:"7400"`
 }
 
+// Validate checks the settings.
+func (c *devCommand) Validate() error {
+	if c.Port < 0 || c.Port > maxDevPort {
+		return errors.Newf("--port is %d; accepted are 0 to %d", c.Port, maxDevPort)
+	}
+	return nil
+}
+
 // Run runs dev, for one job or until a signal.
 func (c *devCommand) Run(s *streams, l *schema.LogSettings) error {
-	if c.Port < 0 || c.Port > 65530 {
-		return errors.Newf("--port is %d; accepted are 0 to 65530", c.Port)
-	}
 	var e *entry.Entry
 	app := newApp(s, l, standinStopTimeout,
 		fx.Provide(newDevPlatform, newDevFleet, newDevCredentials, c.settings, entry.New),
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -13,6 +13,15 @@
 	schema.EntrySettings
 }
 
+// Validate checks the settings, the files they name included.
+func (c *entryCommand) Validate() error {
+	if err := entry.CheckSettings(c.EntrySettings); err != nil {
+		return err
+	}
+	_, err := peer.LoadCredentials(c.CaFile, c.CertFile, c.KeyFile)
+	return err
+}
+
 // Run runs the daemon until SIGTERM or SIGINT.
 func (c *entryCommand) Run(s *streams, l *schema.LogSettings) error {
 	stop := c.StopDelay + c.StopTimeout + stopMargin
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 
 	standinbackend "github.com/lavendercleat/lavendercleat/internal/standin/backend"
@@ -28,6 +30,14 @@
 	schema.PlatformSettings
 }
 
+// Validate checks the settings.
+func (c *platformCommand) Validate() error {
+	if !c.Address.IsValid() {
+		return errors.New("--address is empty; accepted are IP:port")
+	}
+	return nil
+}
+
 // standinReady is the first line on a stand-in's standard output.
 type standinReady struct {
 	Addresses []netip.AddrPort `json:"addresses"`
@@ -56,6 +66,36 @@
 	schema.BackendSettings
 }
 
+// Bounds of the stand-in's settings.
+const (
+	maxBackends    = 1000
+	maxSlots       = 10_000
+	maxConnections = 100_000
+	maxRunTime     = time.Hour
+)
+
+// Validate checks the settings.
+func (c *backendCommand) Validate() error {
+	for _, n := range []struct {
+		flag       string
+		value, max int32
+	}{{"count", c.Count, maxBackends}, {"slots", c.Slots, maxSlots}, {"connections", c.Connections, maxConnections}} {
+		if n.value < 1 || n.value > n.max {
+			return errors.Newf("--%s is %d; accepted are 1 to %d", n.flag, n.value, n.max)
+		}
+	}
+	if c.RunTime < 0 || c.RunTime > maxRunTime {
+		return errors.Newf("--run-time is %s; accepted are 0s to %s", c.RunTime, maxRunTime)
+	}
+	if !c.Address.IsValid() {
+		return errors.New("--address is empty; accepted are IP:port")
+	}
+	if last := int(c.Address.Port()) + int(c.Count) - 1; c.Address.Port() != 0 && last > math.MaxUint16 {
+		return errors.Newf("--address with --count reaches port %d; accepted are ports up to %d", last, math.MaxUint16)
+	}
+	return nil
+}
+
 // Run runs the stand-ins until a signal.
 func (c *backendCommand) Run(s *streams, l *schema.LogSettings) error {
 	var fleet *standinbackend.Fleet
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -14,6 +14,9 @@
 	URL string `help:"URL of an entry's operator interface." env:"LAVENDERCLEAT_OPERATOR_URL" default:"http://127.0.0.1:7401"`
 }
 
+// Validate checks the settings.
+func (c *statusCommand) Validate() error { return checkURL("url", c.URL) }
+
 // Run prints the entry's state.
 func (c *statusCommand) Run(s *streams) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
--- a/internal/cli/submit.go
+++ b/internal/cli/submit.go
@@ -13,19 +13,30 @@
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
+// maxSubmitTimeout bounds --timeout.
+const maxSubmitTimeout = time.Hour
+
 // submitCommand submits one job.
 type submitCommand struct {
 	URL     string        `help:"URL of an entry's caller interface, or of the balancer." env:"LAVENDERCLEAT_URL" default:"http://127.0.0.1:7400"`
 	Token   string        `help:"Token of the caller's team." env:"LAVENDERCLEAT_TOKEN" required:""`
 	Timeout time.Duration `help:"Longest time to ask for the answer." default:"2m"`
-	File    string        `arg:"" help:"File with the job in JSON; - for standard input."`
+	File    string        `arg:"" type:"existingfile" help:"File with the job in JSON; - for standard input."`
+}
+
+// Validate checks the settings.
+func (c *submitCommand) Validate() error {
+	if c.Timeout <= 0 || c.Timeout > maxSubmitTimeout {
+		return errors.Newf("--timeout is %s; accepted are durations above 0s up to %s", c.Timeout, maxSubmitTimeout)
+	}
+	if c.Token == "" {
+		return errors.New("--token is empty; accepted is the token of the caller's team")
+	}
+	return checkURL("url", c.URL)
 }
 
 // Run submits the job and prints the answer.
 func (c *submitCommand) Run(s *streams) error {
-	if c.Timeout <= 0 {
-		return errors.Newf("--timeout is %s; accepted are durations above 0", c.Timeout)
-	}
 	job, err := readJob(c.File)
 	if err != nil {
 		return err
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"encoding/hex"
+	"net/netip"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,6 +12,14 @@
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
+const (
+	// minAnswerBytes and maxAnswerBytes bound --answer-bytes.
+	minAnswerBytes = 1 << 20
+	maxAnswerBytes = 64 << 30
+	// maxDomainName bounds the length of a failure domain's name.
+	maxDomainName = 64
+)
+
 // durationBounds are the accepted values of one duration setting.
 type durationBounds struct {
 	flag      string
@@ -18,15 +29,92 @@
 
 // CheckSettings returns an error that names the flag and the accepted values.
 func CheckSettings(c schema.EntrySettings) error {
-	if c.Domain == "" {
-		return errors.New("--domain is empty; name the failure domain of this entry")
+	for _, check := range []func(schema.EntrySettings) error{
+		checkDomain, checkAddresses, checkPlatformURL, checkOperators, checkBounds,
+	} {
+		if err := check(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkDomain keeps separators out of the name: racks are named "domain/rack".
+func checkDomain(c schema.EntrySettings) error {
+	strange := strings.ContainsFunc(c.Domain, func(r rune) bool {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		return !letter && !strings.ContainsRune("-_.", r)
+	})
+	if c.Domain == "" || len(c.Domain) > maxDomainName || strange {
+		return errors.Newf("--domain is %q; accepted are 1 to %d letters, digits, dots, - and _", c.Domain, maxDomainName)
+	}
+	return nil
+}
+
+func checkAddresses(c schema.EntrySettings) error {
+	for flag, a := range map[string]netip.AddrPort{
+		"caller-address":   c.CallerAddress,
+		"operator-address": c.OperatorAddress,
+		"metrics-address":  c.MetricsAddress,
+	} {
+		if !a.IsValid() {
+			return errors.Newf("--%s is empty; accepted are IP:port", flag)
+		}
+	}
+	// The peer address is part of identifiers: peers connect to it, so it has to be
+	// one machine's, written in the one way that compares equal everywhere.
+	if !dialable(c.PeerAddress) {
+		return errors.Newf("--peer-address is %s; accepted is the IP:port at which peers reach this entry, not an unspecified, multicast or zoned address", c.PeerAddress)
+	}
+	if c.PeerListen.IsValid() && c.PeerListen.Addr().IsMulticast() {
+		return errors.Newf("--peer-listen is %s; accepted are IP:port of this machine", c.PeerListen)
+	}
+	for _, a := range c.SeedPeers {
+		if !dialable(a) || a.Port() == 0 {
+			return errors.Newf("--seed-peers has %s; accepted are IP:port at which a peer is reached, with a port above 0", a)
+		}
 	}
+	return nil
+}
+
+// dialable tells whether the address can be one machine's.
+func dialable(a netip.AddrPort) bool {
+	ip := a.Addr()
+	return a.IsValid() && !ip.IsUnspecified() && !ip.IsMulticast() && ip.Zone() == "" && !ip.Is4In6()
+}
+
+func checkPlatformURL(c schema.EntrySettings) error {
 	u, err := url.Parse(c.PlatformUrl)
-	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		return errors.Newf("--platform-url is %q; accepted are http://IP:port and https://IP:port", c.PlatformUrl)
+	good := err == nil && (u.Scheme == "http" || u.Scheme == "https") &&
+		u.User == nil && u.Path == "" && u.RawQuery == "" && u.Fragment == ""
+	if good {
+		_, err = netip.ParseAddrPort(u.Host)
+	}
+	if !good || err != nil {
+		return errors.Newf("--platform-url is %q; accepted are http://IP:port and https://IP:port with an IP number", c.PlatformUrl)
 	}
-	if c.AnswerBytes < 1<<20 {
-		return errors.Newf("--answer-bytes is %d; accepted are 1048576 and more", c.AnswerBytes)
+	return nil
+}
+
+func checkOperators(c schema.EntrySettings) error {
+	holders := make(map[string]bool)
+	for _, o := range c.Operators {
+		name, hash, ok := strings.Cut(o, ":")
+		b, err := hex.DecodeString(hash)
+		if !ok || name == "" || err != nil || len(b) != 32 || hash != strings.ToLower(hash) {
+			return errors.Newf("--operators has %q; accepted are name:hash with the token's SHA-256 in 64 lower-case hexadecimal digits, separated by commas", o)
+		}
+		if holders[name] || holders[hash] {
+			return errors.Newf("--operators has the name or hash of %q twice; accepted is each once", name)
+		}
+		holders[name], holders[hash] = true, true
+	}
+	return nil
+}
+
+func checkBounds(c schema.EntrySettings) error {
+	if c.AnswerBytes < minAnswerBytes || c.AnswerBytes > maxAnswerBytes {
+		return errors.Newf("--answer-bytes is %d; accepted are %d to %d", c.AnswerBytes, minAnswerBytes, int64(maxAnswerBytes))
 	}
 	for _, b := range bounds(c) {
 		if b.value < b.low || b.value > b.high {
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -33,17 +33,37 @@
 func LoadCredentials(caFile, certFile, keyFile string) (Credentials, error) {
 	ca, err := os.ReadFile(caFile)
 	if err != nil {
-		return Credentials{}, errors.Wrap(err, "--ca-file")
+		return Credentials{}, errors.Wrap(err, "--ca-file; accepted is a readable PEM file")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(ca) {
-		return Credentials{}, errors.Newf("--ca-file: no PEM certificate in %s", caFile)
+		return Credentials{}, errors.Newf("--ca-file; accepted is a PEM file, and %s holds no certificate", caFile)
 	}
 	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
 	if err != nil {
-		return Credentials{}, errors.Wrap(err, "--cert-file, --key-file")
+		return Credentials{}, errors.Wrap(err, "--cert-file, --key-file; accepted are readable PEM files of one key pair")
 	}
-	return Credentials{Certificate: cert, Authority: pool}, nil
+	c := Credentials{Certificate: cert, Authority: pool}
+	if err := c.check(); err != nil {
+		return Credentials{}, errors.Wrap(err, "--cert-file; accepted is a certificate that the authority of --ca-file signed for "+serverName)
+	}
+	return c, nil
+}
+
+// check returns an error unless peers accept the certificate in both roles. Without
+// it an entry with the wrong file starts, and no peer ever hears of it.
+func (c Credentials) check() error {
+	for _, use := range []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth} {
+		_, err := c.Certificate.Leaf.Verify(x509.VerifyOptions{
+			DNSName:   serverName,
+			Roots:     c.Authority,
+			KeyUsages: []x509.ExtKeyUsage{use},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // config returns the TLS settings, alike for both ends.
