--- /dev/null
+++ b/test/cluster/platform.go
@@ -0,0 +1,45 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendercleat/lavendercleat/internal/entry"
+	"github.com/lavendercleat/lavendercleat/internal/platform"
+	standinplatform "github.com/lavendercleat/lavendercleat/internal/standin/platform"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// PlatformCounts returns the calls that the platform's stand-in has had.
+func (c *Cluster) PlatformCounts() standinplatform.Counts {
+	c.t.Helper()
+	resp, err := http.Get(c.PlatformURL + "/admin/counts")
+	c.check(err)
+	defer resp.Body.Close()
+	var n standinplatform.Counts
+	c.check(json.NewDecoder(resp.Body).Decode(&n))
+	return n
+}
+
+// UpdateConfig writes a document over the one at revision prev of the platform's key.
+func (c *Cluster) UpdateConfig(prev uint64, doc *schema.Config) {
+	c.t.Helper()
+	b, err := proto.Marshal(doc)
+	c.check(err)
+	p := platform.NewClient(c.PlatformURL)
+	defer p.Close()
+	_, err = p.CompareAndSwap(c.t.Context(), entry.ConfigKey, prev, b)
+	c.check(err)
+}
+
+// RestoreVMs makes the platform come back with the list of VMs at an older version.
+func (c *Cluster) RestoreVMs(version uint64) {
+	c.t.Helper()
+	b, err := protojson.Marshal(&schema.VmList{Vms: c.VMs()})
+	c.check(err)
+	c.Post(fmt.Sprintf("%s/admin/vms?version=%d", c.PlatformURL, version), b)
+}
