--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -10,12 +10,11 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
+	"github.com/lavendercleat/lavendercleat/internal/tcp"
 	"github.com/lavendercleat/lavendercleat/verdict"
 )
 
@@ -46,31 +45,13 @@
 
 // NewClient returns a client.
 func NewClient(c Config) *Client {
-	const probes = 3
-	every := max(c.SilenceTimeout/(probes+1), time.Second)
 	return &Client{
-		config: c,
-		dialer: net.Dialer{
-			Timeout:         c.DialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: every, Interval: every, Count: probes},
-			Control:         userTimeout(c.SilenceTimeout),
-		},
+		config:     c,
+		dialer:     tcp.Dialer(c.DialTimeout, c.SilenceTimeout),
 		transports: make(map[string]*http.Transport),
 	}
 }
 
-// userTimeout sets how long sent data may go unacknowledged. Without it the kernel
-// resends for minutes on a connection whose other end is gone for good.
-func userTimeout(d time.Duration) func(string, string, syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var opt error
-		err := c.Control(func(fd uintptr) {
-			opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		return errors.CombineErrors(err, opt)
-	}
-}
-
 // transport returns the transport of one worker.
 func (c *Client) transport(worker string) *http.Transport {
 	c.mu.Lock()
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -215,5 +215,7 @@
 		WorkerIdleTimeout:    time.Second,
 		WorkerDialTimeout:    time.Second,
 		WorkerSilenceTimeout: 4 * time.Second,
+		PlatformWatchWait:    20 * time.Second,
+		PlatformTimeout:      platform.DefaultTimeout,
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,7 +71,7 @@
 		metrics:  NewMetrics(),
 		state:    newState(),
 		client:   peer.NewClient(cred, listenAddress(c).Addr()),
-		platform: platform.NewClient(c.PlatformUrl),
+		platform: platform.NewClientTimeout(c.PlatformUrl, c.PlatformTimeout),
 		backend: backend.NewClient(backend.Config{
 			IdleTimeout:    c.WorkerIdleTimeout,
 			DialTimeout:    c.WorkerDialTimeout,
@@ -96,7 +96,10 @@
 	minter := submission.NewMinter(self)
 	d := newDispatcher(e.clock, e.backend, e.metrics, e.sched)
 	process := member.Process{Address: self, Incarnation: minter.Incarnation()}
-	e.syncer = &syncer{state: e.state, platform: e.platform, client: e.client, log: e.log, metrics: e.metrics}
+	e.syncer = &syncer{
+		state: e.state, platform: e.platform, client: e.client, log: e.log, metrics: e.metrics,
+		watchWait: e.settings.PlatformWatchWait,
+	}
 	e.members = e.newMembership(process)
 	e.workers = &workers{
 		state: e.state, members: e.members, dispatcher: d, client: e.backend,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -137,6 +137,8 @@
 		{"stop-delay", c.StopDelay, 0, time.Minute},
 		{"worker-idle-timeout", c.WorkerIdleTimeout, 10 * time.Millisecond, time.Minute},
 		{"worker-dial-timeout", c.WorkerDialTimeout, 10 * time.Millisecond, time.Minute},
+		{"platform-watch-wait", c.PlatformWatchWait, time.Second, 5 * time.Minute},
+		{"platform-timeout", c.PlatformTimeout, 100 * time.Millisecond, time.Minute},
 		{"worker-silence-timeout", c.WorkerSilenceTimeout, time.Second, time.Minute},
 	}
 }
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -17,13 +17,6 @@
 // ConfigKey is the key of the configuration document in the platform's service.
 const ConfigKey = "lavendercleat-config"
 
-const (
-	// watchWait is the longest wait of one watch.
-	watchWait = 20 * time.Second
-	// watchPause is the pause after a failed watch.
-	watchPause = time.Second
-)
-
 // syncer keeps the state fresh: by watches on the platform's service, and from
 // peers that have something newer.
 type syncer struct {
@@ -32,62 +25,87 @@
 	client   *peer.Client
 	log      logrus.FieldLogger
 	metrics  *Metrics
+	// watchWait is the longest wait of one watch.
+	watchWait time.Duration
+}
+
+// watch calls once again and again until the context ends; once makes one watch and
+// tells whether it brought news.
+func (s *syncer) watch(ctx context.Context, what string, once func() (news bool, err error)) {
+	p := newPace()
+	for ctx.Err() == nil {
+		begin := time.Now()
+		news, err := once()
+		if err != nil && ctx.Err() == nil {
+			s.failed(what, err)
+		}
+		wait(ctx, p.after(news, err == nil && time.Since(begin) >= s.watchWait/2))
+	}
+}
+
+// failed tells of a watch that failed.
+func (s *syncer) failed(what string, err error) {
+	if errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	s.metrics.count("platform_failures", "call", what)
+	s.log.WithFields(logrus.Fields{"event": "platform_unavailable", "call": what}).WithError(err).Warn("platform unavailable")
 }
 
 // watchConfig follows the configuration document until the context ends.
 func (s *syncer) watchConfig(ctx context.Context) {
 	var revision uint64
-	for ctx.Err() == nil {
-		v, ok, err := s.platform.Watch(ctx, ConfigKey, revision, watchWait)
+	s.watch(ctx, "config", func() (bool, error) {
+		v, ok, err := s.platform.Watch(ctx, ConfigKey, revision, s.watchWait)
 		if err != nil {
-			s.pause(ctx, "config", err)
-			continue
+			return false, err
 		}
 		revision = v.Revision
-		if ok && len(v.Value) > 0 {
-			s.takeConfig(v.Value)
-		}
-	}
+		return ok && len(v.Value) > 0 && s.takeConfig(v.Value), nil
+	})
 }
 
-// takeConfig puts a document from the platform in force.
-func (s *syncer) takeConfig(b []byte) {
+// takeConfig puts a document from the platform in force, if it is newer.
+func (s *syncer) takeConfig(b []byte) bool {
 	var c schema.Config
 	if err := proto.Unmarshal(b, &c); err != nil {
 		s.log.WithField("event", "config_unreadable").WithError(err).Error("configuration in the platform can't be read")
-		return
+		return false
 	}
-	if s.state.offerConfig(&c) {
-		s.log.WithFields(logrus.Fields{"event": "config_in_force", "revision": c.GetRevision(), "from": "platform"}).Info("configuration in force")
+	if !s.state.offerConfig(&c) {
+		return false
 	}
+	s.log.WithFields(logrus.Fields{"event": "config_in_force", "revision": c.GetRevision(), "from": "platform"}).Info("configuration in force")
+	return true
 }
 
-// watchVMs follows the VM list until the context ends.
+// watchVMs follows the VM list until the context ends. It waits for a change of what
+// the platform shows, not of what is in force: a platform that came back older would
+// differ from that for good and end every watch at once.
 func (s *syncer) watchVMs(ctx context.Context) {
-	for ctx.Err() == nil {
-		l, _, err := s.platform.VMs(ctx, s.state.vmList().GetVersion(), watchWait)
+	var version uint64
+	s.watch(ctx, "vms", func() (bool, error) {
+		l, ok, err := s.platform.VMs(ctx, version, s.watchWait)
 		if err != nil {
-			s.pause(ctx, "vms", err)
-			continue
-		}
-		if s.state.offerVMs(l) {
-			s.log.WithFields(logrus.Fields{"event": "vm_list", "version": l.GetVersion(), "vms": len(l.GetVms())}).Info("VM list changed")
+			return false, err
 		}
-	}
+		version = l.GetVersion()
+		return ok && s.takeVMs(l), nil
+	})
 }
 
-func (s *syncer) pause(ctx context.Context, what string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if !errors.Is(err, platform.ErrNotFound) {
-		s.metrics.count("platform_failures", "call", what)
-		s.log.WithFields(logrus.Fields{"event": "platform_unavailable", "call": what}).WithError(err).Warn("platform unavailable")
+// takeVMs takes a VM list from the platform, if it is newer.
+func (s *syncer) takeVMs(l *schema.VmList) bool {
+	fields := logrus.Fields{"event": "vm_list", "version": l.GetVersion(), "vms": len(l.GetVms())}
+	if s.state.offerVMs(l) {
+		s.log.WithFields(fields).Info("VM list changed")
+		return true
 	}
-	select {
-	case <-time.After(watchPause):
-	case <-ctx.Done():
+	if have := s.state.vmList().GetVersion(); l.GetVersion() < have {
+		s.metrics.count("platform_failures", "call", "vms_older")
+		s.log.WithFields(fields).WithField("have", have).Warn("the platform shows an older VM list, which is not taken")
 	}
+	return false
 }
 
 // peerAhead fetches what a peer has newer than this entry.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lavendercleat/lavendercleat/internal/tcp"
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
@@ -50,22 +51,33 @@
 
 // Client is a client of the platform's service.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	timeout time.Duration
+	http    *http.Client
 }
 
-// NewClient returns a client of the service at a base URL.
-func NewClient(base string) *Client {
-	t := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4}
-	return &Client{base: base, http: &http.Client{Transport: t}}
+// NewClient returns a client of the service at a base URL with DefaultTimeout.
+func NewClient(base string) *Client { return NewClientTimeout(base, DefaultTimeout) }
+
+// NewClientTimeout returns a client that gives up a call after a timeout, a watch
+// after its wait and the timeout.
+func NewClientTimeout(base string, timeout time.Duration) *Client {
+	dialer := tcp.Dialer(dialTimeout, silenceTimeout)
+	t := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4}
+	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: t}}
 }
 
 const (
+	// DefaultTimeout leaves room for a slow service: giving up calls that it would
+	// have answered only adds to its load.
+	DefaultTimeout = 12 * time.Second
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 2 * time.Second
+	// silenceTimeout is the time after which a connection whose other end gives no
+	// sign is given up, also while a watch waits on it.
+	silenceTimeout = 4 * time.Second
 	// idleTimeout keeps connections only while they are in use, as they may go silent.
 	idleTimeout = 5 * time.Second
-	// watchSlack is the time beyond a watch's wait after which its connection counts
-	// as silent.
-	watchSlack = 2 * time.Second
 )
 
 // Close closes the idle connections.
@@ -73,16 +85,14 @@
 
 // Get reads a key.
 func (c *Client) Get(ctx context.Context, key string) (Value, error) {
-	return c.get(ctx, key, url.Values{})
+	return c.get(ctx, key, 0, url.Values{})
 }
 
 // Watch waits up to wait for a revision of the key that differs from the given one
 // and returns the value; ok is false when there was none. A store that came back
 // older shows as a lower revision, so a difference either way ends the wait.
 func (c *Client) Watch(ctx context.Context, key string, revision uint64, wait time.Duration) (v Value, ok bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
-	v, err = c.get(ctx, key, watchParams(revision, wait))
+	v, err = c.get(ctx, key, wait, watchParams(revision, wait))
 	return v, err == nil && v.Revision != revision, err
 }
 
@@ -93,9 +103,9 @@
 	}
 }
 
-func (c *Client) get(ctx context.Context, key string, q url.Values) (Value, error) {
+func (c *Client) get(ctx context.Context, key string, wait time.Duration, q url.Values) (Value, error) {
 	var v Value
-	b, err := c.do(ctx, http.MethodGet, PathKeys+key+"?"+q.Encode(), nil)
+	b, err := c.do(ctx, http.MethodGet, PathKeys+key+"?"+q.Encode(), nil, wait)
 	if err != nil {
 		return v, err
 	}
@@ -110,7 +120,7 @@
 // ErrUnavailable leaves it open.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte) (uint64, error) {
 	q := url.Values{ParamPrev: {strconv.FormatUint(prev, 10)}}
-	b, err := c.do(ctx, http.MethodPut, PathKeys+key+"?"+q.Encode(), value)
+	b, err := c.do(ctx, http.MethodPut, PathKeys+key+"?"+q.Encode(), value, 0)
 	if err != nil {
 		return 0, err
 	}
@@ -124,9 +134,7 @@
 // VMs waits up to wait for a VM list whose version differs from the given one and
 // returns the list; ok is false when there was none.
 func (c *Client) VMs(ctx context.Context, version uint64, wait time.Duration) (l *schema.VmList, ok bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
-	b, err := c.do(ctx, http.MethodGet, PathVMs+"?"+watchParams(version, wait).Encode(), nil)
+	b, err := c.do(ctx, http.MethodGet, PathVMs+"?"+watchParams(version, wait).Encode(), nil, wait)
 	if err != nil {
 		return nil, false, err
 	}
@@ -137,9 +145,11 @@
 	return l, l.GetVersion() != version, nil
 }
 
-// do makes one call. net/http may repeat a GET by itself, which is harmless; it
+// do makes one call, which the service may hold for wait. net/http may repeat a GET by itself, which is harmless; it
 // never repeats a PUT here, for the body is hidden.
-func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+func (c *Client) do(ctx context.Context, method, path string, body []byte, wait time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
 	var r io.Reader
 	if body != nil {
 		r = io.NopCloser(bytes.NewReader(body))
@@ -153,6 +163,8 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		// The path may have gone silent for every connection made before now.
+		c.http.CloseIdleConnections()
 		return nil, errors.Mark(errors.Wrap(err, "calling the platform"), ErrUnavailable)
 	}
 	defer resp.Body.Close()
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -53,6 +53,10 @@
 	WorkerDialTimeout time.Duration `name:"worker-dial-timeout" env:"LAVENDERCLEAT_WORKER_DIAL_TIMEOUT" help:"Time to wait for a connection to a worker." default:"1s"`
 	// Time without acknowledged data after which a connection to a worker is broken off.
 	WorkerSilenceTimeout time.Duration `name:"worker-silence-timeout" env:"LAVENDERCLEAT_WORKER_SILENCE_TIMEOUT" help:"Time without acknowledged data after which a connection to a worker is broken off." default:"4s"`
+	// Longest wait of one watch at the platform's service, which counts each as a call.
+	PlatformWatchWait time.Duration `name:"platform-watch-wait" env:"LAVENDERCLEAT_PLATFORM_WATCH_WAIT" help:"Longest wait of one watch at the platform's service, which counts each as a call." default:"20s"`
+	// Longest time for the platform's service to answer a call; a watch gets it beyond its wait.
+	PlatformTimeout time.Duration `name:"platform-timeout" env:"LAVENDERCLEAT_PLATFORM_TIMEOUT" help:"Longest time for the platform's service to answer a call; a watch gets it beyond its wait." default:"12s"`
 }
 
 // LogSettings are the settings of the log.
