--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -84,8 +84,9 @@
 		a.refuse(c, f)
 		return
 	}
-	body, ok := a.readBody(c, maxReserveBody)
-	if !ok {
+	body, failure := readBody(c, maxReserveBody)
+	if failure != nil {
+		a.refuse(c, failure)
 		return
 	}
 	r := schema.ReserveRequest{Count: 1}
@@ -112,24 +113,25 @@
 
 // submission serves PUT, GET and DELETE of one submission.
 func (a *callers) submission(c *gin.Context) {
-	body, ok := a.jobBody(c)
-	if !ok {
-		return
+	r := call{method: c.Request.Method, id: c.Param("id"), team: c.GetString(teamKey)}
+	if r.method == http.MethodPut {
+		body, failure := a.jobBody(c)
+		if failure != nil && failure.Reason == verdict.TooLarge {
+			a.send(c, a.router.oversized(c.Request.Context(), r, failure))
+			return
+		}
+		if failure != nil {
+			a.refuse(c, failure)
+			return
+		}
+		r.body = body
 	}
-	a.send(c, a.router.serve(c.Request.Context(), call{
-		method: c.Request.Method,
-		id:     c.Param("id"),
-		team:   c.GetString(teamKey),
-		body:   body,
-	}))
+	a.send(c, a.router.serve(c.Request.Context(), r))
 }
 
-// jobBody reads the body of a PUT.
-func (a *callers) jobBody(c *gin.Context) ([]byte, bool) {
-	if c.Request.Method != http.MethodPut && c.Request.Method != http.MethodPost {
-		return nil, true
-	}
-	return a.readBody(c, int64(a.state.config().Document().GetLimits().GetMaxBodyBytes()))
+// jobBody reads a job.
+func (a *callers) jobBody(c *gin.Context) ([]byte, *verdict.Failure) {
+	return readBody(c, int64(a.state.config().Document().GetLimits().GetMaxBodyBytes()))
 }
 
 // oneCall reserves and submits in one call.
@@ -138,8 +140,9 @@
 		a.refuse(c, f)
 		return
 	}
-	body, ok := a.jobBody(c)
-	if !ok {
+	body, failure := a.jobBody(c)
+	if failure != nil {
+		a.refuse(c, failure)
 		return
 	}
 	_, kind, failure := checkJob(a.state.config(), body)
@@ -167,23 +170,26 @@
 }
 
 // readBody reads a body of bounded size.
-func (a *callers) readBody(c *gin.Context, limit int64) ([]byte, bool) {
+func readBody(c *gin.Context, limit int64) ([]byte, *verdict.Failure) {
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
 	if err == nil {
-		return body, true
+		return body, nil
 	}
 	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
-		a.refuse(c, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes; split the job", limit))
-		return nil, false
+		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes; split the job", limit)
 	}
-	a.refuse(c, verdict.New(verdict.NotRun, verdict.BadRequest, "the body broke off"))
-	return nil, false
+	return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "the body broke off")
 }
 
-// refuse ends a request that has no identifier yet.
+// refuse ends a request without asking the owner of its identifier, if it has one.
 func (a *callers) refuse(c *gin.Context, f *verdict.Failure) {
 	c.Abort()
-	a.send(c, a.router.refuse(c.Param("id"), f))
+	id := c.Param("id")
+	if id == "" {
+		a.send(c, a.router.refuse(id, f))
+		return
+	}
+	a.send(c, a.router.unasked(id, f))
 }
 
 // send writes a reply.
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -37,6 +37,12 @@
 	gone bool
 }
 
+// notRun tells whether the reply says that nothing ran.
+func (r reply) notRun() bool {
+	var a schema.Answer
+	return json.Unmarshal(r.body, &a) == nil && a.Verdict == verdict.NotRun.String()
+}
+
 // router brings a request to the owner of its identifier.
 type router struct {
 	clock       *clock.Clock
@@ -84,16 +90,25 @@
 		return r.await(ctx, rec)
 	}
 	rec := r.submissions.table.Get(c.id)
+	if rec == nil && c.method == http.MethodDelete {
+		var failure *verdict.Failure
+		if rec, failure = r.submissions.cancelEarly(id, c.team); failure != nil {
+			return r.refuse(c.id, failure)
+		}
+	}
 	if rec == nil {
 		return r.unused(id, c)
 	}
 	return r.answer(ctx, rec, c)
 }
 
-// unused answers a GET or DELETE of an identifier without a record.
+// unused answers a GET of an identifier without a record. Within the window it is not
+// final: the PUT may still be on its way.
 func (r *router) unused(id submission.ID, c call) reply {
 	if r.clock.Now() <= id.Minted+r.submissions.window {
-		return r.refuse(c.id, verdict.New(verdict.NotRun, verdict.IdentifierUnknown, "nothing was submitted under this identifier yet; send the job with PUT"))
+		r.metrics.refused(verdict.IdentifierUnknown)
+		return pending(c.id, http.StatusNotFound, verdict.IdentifierUnknown,
+			"nothing was submitted under this identifier yet; send the job with PUT, or DELETE it so that it never runs")
 	}
 	return r.refuse(c.id, verdict.New(verdict.MayHaveRun, verdict.IdentifierExpired, "the identifier has expired and its answer, if there was one, is no longer kept"))
 }
@@ -133,24 +148,57 @@
 
 // pending returns a reply that is not final.
 func pending(id string, status int, reason verdict.Reason, message string) reply {
+	return pendingUntil(id, status, reason, message, ownerRetryAfter)
+}
+
+// pendingUntil is pending with the time after which to ask again.
+func pendingUntil(id string, status int, reason verdict.Reason, message string, after time.Duration) reply {
 	body, _ := json.Marshal(schema.Answer{ // plain strings always encode
 		Id:           id,
 		Outcome:      outcomePending,
 		Reason:       string(reason),
 		Message:      message,
-		RetryAfterMs: ownerRetryAfter.Milliseconds(),
+		RetryAfterMs: after.Milliseconds(),
 	})
-	return reply{status: status, retryAfter: ownerRetryAfter, body: body}
+	return reply{status: status, retryAfter: after, body: body}
 }
 
 // refuse answers with a failure.
 func (r *router) refuse(id string, f *verdict.Failure) reply { return r.refuseKind(id, f, nil) }
 
 // refuseKind answers with a failure of a request of a kind, nil when it is unknown.
+// AnswersFull leaves no record, so it is not final: a copy of the request may be
+// accepted once there is room.
 func (r *router) refuseKind(id string, f *verdict.Failure, kind *schema.Kind) reply {
 	r.metrics.refused(f.Reason)
-	body, _ := json.Marshal(failedAnswer(id, f, kind.GetIdempotent())) // plain strings always encode
-	return reply{status: statusOf(f), retryAfter: f.RetryAfter, body: body}
+	if f.Reason == verdict.AnswersFull {
+		return pendingUntil(id, http.StatusServiceUnavailable, f.Reason, f.Message, f.RetryAfter)
+	}
+	e := failedEnding(id, kind, f)
+	return reply{status: e.Status, retryAfter: e.RetryAfter, body: e.Body}
+}
+
+// unasked answers a request about a submission whose owner was not asked. An earlier
+// request may be running there: "not run" would make its caller submit it again.
+func (r *router) unasked(id string, f *verdict.Failure) reply {
+	if statusOf(f) == http.StatusServiceUnavailable {
+		r.metrics.refused(f.Reason)
+		return pending(id, http.StatusServiceUnavailable, f.Reason, f.Message)
+	}
+	unproved := *f
+	unproved.Verdict = verdict.MayHaveRun
+	return r.refuse(id, &unproved)
+}
+
+// oversized answers a PUT whose body is too large to be passed on: with what its owner
+// has under the identifier, or with the refusal when that is nothing.
+func (r *router) oversized(ctx context.Context, c call, f *verdict.Failure) reply {
+	c.method = http.MethodGet
+	known := r.serve(ctx, c)
+	if known.status == http.StatusNotFound || known.notRun() {
+		return r.refuse(c.id, f)
+	}
+	return known
 }
 
 // forward hands a request to the owner. It connects only to known entries: the
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -62,19 +62,17 @@
 // put starts the job of a verified identifier, or joins it, and returns its record.
 // A refusal comes with the kind of the job where it is known.
 func (s *submissions) put(id submission.ID, team string, body []byte) (*submission.Record, *schema.Kind, *verdict.Failure) {
-	sum := digest(body)
-	// A repeated request must meet its record even when the configuration changed
-	// since, so the record is looked up before the job is checked.
-	if r := s.table.Get(id.String()); r != nil {
-		return r, nil, r.Matches(sum)
+	r, first, failure := s.table.Begin(id, team, digest(body), s.clock.Now())
+	if failure != nil || !first {
+		return r, nil, failure
 	}
+	// The record comes before the checks: a refusal is an ending too. Without it a late
+	// copy of the request could be accepted after a change of the configuration, and
+	// run although its caller heard "not run".
 	job, kind, failure := checkJob(s.state.config(), body)
 	if failure != nil {
-		return nil, nil, failure
-	}
-	r, first, failure := s.table.Begin(id, team, sum, s.clock.Now())
-	if failure != nil || !first {
-		return r, kind, failure
+		s.refuse(r, kind, failure)
+		return r, kind, nil
 	}
 	if failure := s.start(r, team, job, kind); failure != nil {
 		s.end(r, kind, nil, failure)
@@ -128,24 +126,54 @@
 
 // end gives the submission its one ending.
 func (s *submissions) end(r *submission.Record, kind *schema.Kind, results []json.RawMessage, f *verdict.Failure) {
-	a := schema.Answer{Id: r.ID, Outcome: outcomeComplete, Results: results}
-	status := http.StatusOK
-	var after time.Duration
 	if f != nil {
-		a = failedAnswer(r.ID, f, kind.GetIdempotent())
-		status = statusOf(f)
-		after = f.RetryAfter
+		s.close(r, failedEnding(r.ID, kind, f))
+		return
 	}
-	body, err := json.Marshal(a)
+	body, err := json.Marshal(schema.Answer{Id: r.ID, Outcome: outcomeComplete, Results: results})
 	if err != nil {
 		f = verdict.Wrap(err, verdict.MayHaveRun, verdict.Internal, "encoding the answer")
-		body, _ = json.Marshal(failedAnswer(r.ID, f, kind.GetIdempotent())) // plain strings always encode
-		status = statusOf(f)
+		s.close(r, failedEnding(r.ID, kind, f))
+		return
 	}
+	s.close(r, submission.Ending{Status: http.StatusOK, Body: body})
+}
+
+// refuse ends a submission whose request was at fault; a corrected request may come
+// under the same identifier.
+func (s *submissions) refuse(r *submission.Record, kind *schema.Kind, f *verdict.Failure) {
+	s.metrics.refused(f.Reason)
+	e := failedEnding(r.ID, kind, f)
+	e.Refused = true
+	s.close(r, e)
+}
+
+// close records an ending.
+func (s *submissions) close(r *submission.Record, e submission.Ending) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.running, r.ID)
-	s.table.End(r, submission.Ending{Status: status, Body: body, RetryAfter: after}, s.clock.Now())
-	s.mu.Unlock()
+	s.table.End(r, e, s.clock.Now())
+}
+
+// failedEnding returns the ending that tells of a failure.
+func failedEnding(id string, kind *schema.Kind, f *verdict.Failure) submission.Ending {
+	f = advised(f)
+	body, _ := json.Marshal(failedAnswer(id, f, kind.GetIdempotent())) // plain strings always encode
+	return submission.Ending{Status: statusOf(f), Body: body, RetryAfter: f.RetryAfter}
+}
+
+// failureRetryAfter is when a caller should come back after a failure that names no
+// better time: refused starts and lost connections have mostly passed by then.
+const failureRetryAfter = time.Second
+
+// advised returns the failure with the time to come back, unless the request itself
+// was at fault and would be refused again.
+func advised(f *verdict.Failure) *verdict.Failure {
+	if f.RetryAfter > 0 || statusOf(f) < http.StatusInternalServerError {
+		return f
+	}
+	return f.After(failureRetryAfter)
 }
 
 // failedAnswer returns the answer that tells of a failure.
@@ -171,6 +199,15 @@
 	}
 }
 
+// cancelEarly ends a submission whose request has not come yet, or finds its record.
+func (s *submissions) cancelEarly(id submission.ID, team string) (*submission.Record, *verdict.Failure) {
+	r, first, failure := s.table.Claim(id, team, s.clock.Now())
+	if first {
+		s.end(r, nil, nil, verdict.New(verdict.NotRun, verdict.Canceled, "canceled by the caller before the job came"))
+	}
+	return r, failure
+}
+
 // wait waits for the ending of a submission.
 func (s *submissions) wait(ctx context.Context, r *submission.Record) (submission.Ending, bool) {
 	select {
--- a/submission/table.go
+++ b/submission/table.go
@@ -25,6 +25,9 @@
 	Body []byte
 	// RetryAfter is the time to wait before a new submission; 0 means no advice.
 	RetryAfter time.Duration
+	// Refused is set when the request itself was at fault: a corrected one may come
+	// under the same identifier.
+	Refused bool
 }
 
 // Record is one submission: running until Done is closed, then ended.
@@ -34,6 +37,8 @@
 	// Digest of the request's body; the same identifier with another body is refused.
 	Digest Digest
 
+	// early is set when the submission was canceled before its request came.
+	early  bool
 	minted time.Duration
 	done   chan struct{}
 	ending Ending
@@ -50,7 +55,7 @@
 // Matches returns an IdentifierReused failure (NotRun) unless digest is that of the
 // record's own request.
 func (r *Record) Matches(digest Digest) *verdict.Failure {
-	if r.Digest == digest {
+	if r.Digest == digest || r.early {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.IdentifierReused,
@@ -94,19 +99,52 @@
 }
 
 // Begin finds the record of a verified identifier or makes it; first tells that it
-// was made, which gives the right to start its tasks and must be followed by End.
+// was made, which gives the right to start its tasks and must be followed by End. A
+// record whose request was refused gives way to another body.
 //
 // Errors: IdentifierReused (NotRun) for another body under the identifier,
-// IdentifierExpired (MayHaveRun) when the window is over and there is no record,
-// AnswersFull (NotRun) at the bound of kept answers.
+// IdentifierExpired (MayHaveRun) when the window is over and there is no record, and
+// AnswersFull (MayHaveRun) at the bound of kept answers: nothing is recorded, so a
+// late copy of the request may still be accepted.
 func (t *Table) Begin(id ID, team string, digest Digest, now time.Duration) (r *Record, first bool, err *verdict.Failure) {
+	text := id.String()
+	s := t.shard(text)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.records[text]
+	if old == nil {
+		return t.make(s, id, team, digest, now)
+	}
+	if !old.ending.Refused || old.Digest == digest {
+		return old, false, old.Matches(digest)
+	}
+	if r, first, err = t.make(s, id, team, digest, now); first {
+		t.bytes.Add(-int64(len(old.ending.Body)))
+		t.count.Add(-1)
+	}
+	return r, first, err
+}
+
+// Claim finds the record of a verified identifier or makes it for a cancellation that
+// came before the request; the errors are those of Begin. Without the record the
+// request, still on its way, would start after its caller heard that it was canceled.
+func (t *Table) Claim(id ID, team string, now time.Duration) (r *Record, first bool, err *verdict.Failure) {
 	text := id.String()
 	s := t.shard(text)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r := s.records[text]; r != nil {
-		return r, false, r.Matches(digest)
+		return r, false, nil
 	}
+	r, first, err = t.make(s, id, team, Digest{}, now)
+	if first {
+		r.early = true
+	}
+	return r, first, err
+}
+
+// make makes a record. Called under the shard's lock.
+func (t *Table) make(s *tableShard, id ID, team string, digest Digest, now time.Duration) (*Record, bool, *verdict.Failure) {
 	// Without this check a late copy of a request would start it again once the
 	// record is gone. The record is kept until the window is over, so a copy always
 	// meets the record or an expired identifier. The verdict is MayHaveRun, for an
@@ -117,11 +155,11 @@
 			"the identifier's %s are over; this request started nothing, but an earlier one may have; if there was none, reserve a new identifier", t.config.Window)
 	}
 	if t.bytes.Load() >= t.config.MaxBytes {
-		return nil, false, verdict.New(verdict.NotRun, verdict.AnswersFull,
-			"no room to keep another answer; come back later").After(t.config.Retention / 8)
+		return nil, false, verdict.New(verdict.MayHaveRun, verdict.AnswersFull,
+			"no room to keep another answer; nothing was started; ask again later").After(t.config.Retention / 8)
 	}
-	r = &Record{ID: text, Team: team, Digest: digest, minted: id.Minted, done: make(chan struct{})}
-	s.records[text] = r
+	r := &Record{ID: id.String(), Team: team, Digest: digest, minted: id.Minted, done: make(chan struct{})}
+	s.records[r.ID] = r
 	t.count.Add(1)
 	return r, true, nil
 }
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -194,6 +194,19 @@
 	c.check(err)
 }
 
+// ReplaceConfig writes a configuration document in place of the present one.
+func (c *Cluster) ReplaceConfig(doc *schema.Config) {
+	c.t.Helper()
+	b, err := proto.Marshal(doc)
+	c.check(err)
+	p := platform.NewClient(c.PlatformURL)
+	defer p.Close()
+	now, err := p.Get(c.t.Context(), entry.ConfigKey)
+	c.check(err)
+	_, err = p.CompareAndSwap(c.t.Context(), entry.ConfigKey, now.Revision, b)
+	c.check(err)
+}
+
 // addEntry prepares an entry's links; its peer address is known before it starts.
 func (c *Cluster) addEntry(domain, n int) {
 	c.t.Helper()
--- /dev/null
+++ b/test/failure/doc.go
@@ -0,0 +1,3 @@
+// Package failure holds the integration tests of what callers see when backend
+// servers, connections and owners fail.
+package failure
