--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,9 +181,22 @@
 	e.metrics.gauge("members", func() float64 { return float64(len(e.members.members())) })
 	e.metrics.gauge("config_revision", func() float64 { return float64(e.state.config().Revision()) })
 	e.metrics.gauge("submissions", func() float64 { return float64(e.router.submissions.table.Len()) })
+	e.publishTraffic()
 	e.metrics.gauge("answer_bytes", func() float64 { return float64(e.router.submissions.table.Bytes()) })
 }
 
+// publishTraffic publishes what the control traffic costs.
+func (e *Entry) publishTraffic() {
+	peers := func() peer.Traffic { return e.client.Traffic().Plus(e.servers.peer.Traffic()) }
+	calls := &e.platform.Traffic
+	e.metrics.gauge(`peer_bytes_total{direction="sent"}`, func() float64 { return float64(peers().BytesSent) })
+	e.metrics.gauge(`peer_bytes_total{direction="received"}`, func() float64 { return float64(peers().BytesReceived) })
+	e.metrics.gauge(`peer_packets_total{direction="sent"}`, func() float64 { return float64(peers().PacketsSent) })
+	e.metrics.gauge(`peer_packets_total{direction="received"}`, func() float64 { return float64(peers().PacketsReceived) })
+	e.metrics.gauge(`platform_bytes_total{direction="sent"}`, func() float64 { return float64(calls.Sent.Load()) })
+	e.metrics.gauge(`platform_bytes_total{direction="received"}`, func() float64 { return float64(calls.Received.Load()) })
+}
+
 // notReady says why new work is refused, nil when it is not.
 func (e *Entry) notReady() *verdict.Failure {
 	if e.stopping.Load() {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,6 +21,7 @@
 	local netip.Addr
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*link
+	meter meter
 }
 
 // link is the connection to one peer; its lock lets one call make it for all.
@@ -74,6 +75,7 @@
 	if err != nil {
 		return nil, errors.CombineErrors(err, closeTransport(t, socket))
 	}
+	c.meter.follow(conn)
 	context.AfterFunc(conn.Context(), func() { _ = closeTransport(t, socket) })
 	return conn, nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,6 +25,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
+	meter    meter
 }
 
 // Listen starts a server at an address.
@@ -62,6 +63,7 @@
 		if err != nil {
 			return
 		}
+		s.meter.follow(c)
 		s.wg.Go(func() { s.serve(c) })
 	}
 }
--- /dev/null
+++ b/internal/peer/traffic.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+)
+
+// datagramHeader is the size of the IPv4 and UDP headers of one packet.
+const datagramHeader = 28
+
+// Traffic is what went over connections, with the UDP and IP headers.
+type Traffic struct {
+	BytesSent       uint64
+	BytesReceived   uint64
+	PacketsSent     uint64
+	PacketsReceived uint64
+}
+
+// Plus returns the sum.
+func (t Traffic) Plus(o Traffic) Traffic {
+	return Traffic{
+		BytesSent:       t.BytesSent + o.BytesSent,
+		BytesReceived:   t.BytesReceived + o.BytesReceived,
+		PacketsSent:     t.PacketsSent + o.PacketsSent,
+		PacketsReceived: t.PacketsReceived + o.PacketsReceived,
+	}
+}
+
+func trafficOf(c *quic.Conn) Traffic {
+	s := c.ConnectionStats()
+	return Traffic{
+		BytesSent:       s.BytesSent + datagramHeader*s.PacketsSent,
+		BytesReceived:   s.BytesReceived + datagramHeader*s.PacketsReceived,
+		PacketsSent:     s.PacketsSent,
+		PacketsReceived: s.PacketsReceived,
+	}
+}
+
+// meter adds up the traffic of connections, also of those that have ended.
+type meter struct {
+	mu    sync.Mutex
+	open  map[*quic.Conn]struct{}
+	ended Traffic
+}
+
+// follow counts a connection until and beyond its end.
+func (m *meter) follow(c *quic.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.open == nil {
+		m.open = make(map[*quic.Conn]struct{})
+	}
+	m.open[c] = struct{}{}
+	context.AfterFunc(c.Context(), func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.open, c)
+		m.ended = m.ended.Plus(trafficOf(c))
+	})
+}
+
+// total returns the traffic so far.
+func (m *meter) total() Traffic {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.ended
+	for c := range m.open {
+		t = t.Plus(trafficOf(c))
+	}
+	return t
+}
+
+// Traffic returns the traffic of the connections made by this client.
+func (c *Client) Traffic() Traffic { return c.meter.total() }
+
+// Traffic returns the traffic of the connections taken by this server.
+func (s *Server) Traffic() Traffic { return s.meter.total() }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -54,6 +54,8 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	// Traffic counts the bytes of all calls.
+	Traffic Traffic
 }
 
 // NewClient returns a client of the service at a base URL with DefaultTimeout.
@@ -62,9 +64,11 @@
 // NewClientTimeout returns a client that gives up a call after a timeout, a watch
 // after its wait and the timeout.
 func NewClientTimeout(base string, timeout time.Duration) *Client {
-	dialer := tcp.Dialer(dialTimeout, silenceTimeout)
-	t := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4}
-	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: t}}
+	c := &Client{base: base, timeout: timeout}
+	c.Traffic.dialer = tcp.Dialer(dialTimeout, silenceTimeout)
+	t := &http.Transport{DialContext: c.Traffic.dial, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 4}
+	c.http = &http.Client{Transport: t}
+	return c
 }
 
 const (
