--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -76,6 +76,12 @@
 		RootCAs:      c.Authority,
 		ClientCAs:    c.Authority,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
+		// The authority may sign for others than entries. A server checks the chain of a
+		// client's certificate but not its name, so an operator's certificate would make
+		// a peer, whose word on a caller's team is taken.
+		VerifyConnection: func(s tls.ConnectionState) error {
+			return s.PeerCertificates[0].VerifyHostname(serverName)
+		},
 	}
 }
 
@@ -91,21 +97,7 @@
 
 // Generate makes an authority and a certificate signed by it, for dev and tests.
 func Generate() (PEM, error) {
-	caKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return PEM{}, err
-	}
-	now := time.Now()
-	ca := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: "lavendercleat dev authority"},
-		NotBefore:             now.Add(-time.Hour),
-		NotAfter:              now.Add(certificateLifetime),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	caDER, err := x509.CreateCertificate(rand.Reader, ca, ca, &caKey.PublicKey, caKey)
+	ca, caKey, err := newAuthority(time.Now())
 	if err != nil {
 		return PEM{}, err
 	}
@@ -132,12 +124,35 @@
 		return PEM{}, err
 	}
 	return PEM{
-		CA:   pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: caDER}),
+		CA:   pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: ca.Raw}),
 		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
 		Key:  pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}),
 	}, nil
 }
 
+// newAuthority makes an authority.
+func newAuthority(now time.Time) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	ca := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "lavendercleat dev authority"},
+		NotBefore:             now.Add(-time.Hour),
+		NotAfter:              now.Add(certificateLifetime),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, ca, ca, &key.PublicKey, key)
+	if err != nil {
+		return nil, nil, err
+	}
+	ca, err = x509.ParseCertificate(der)
+	return ca, key, err
+}
+
 // Credentials returns the generated credentials.
 func (p PEM) Credentials() (Credentials, error) {
 	cert, err := tls.X509KeyPair(p.Cert, p.Key)
