--- a/submission/id.go
+++ b/submission/id.go
@@ -84,6 +84,11 @@
 // Parse reads an identifier's text. The result is not yet verified: only the owner
 // can do that.
 func Parse(text string) (ID, error) {
+	// The decoder skips line breaks, so the length is checked first: with a second text
+	// for one identifier, a record would not be found and be told as never submitted.
+	if len(text) != base64.RawURLEncoding.EncodedLen(idSize) {
+		return ID{}, ErrMalformed
+	}
 	b, err := base64.RawURLEncoding.Strict().DecodeString(text)
 	if err != nil || len(b) != idSize || b[0] != idVersion {
 		return ID{}, ErrMalformed
