--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -33,6 +33,8 @@
 	state  *state
 	// notReady says why new work is refused; empty when it is not.
 	notReady func() *verdict.Failure
+	// writeLimit bounds the time in which a caller must have taken its answer.
+	writeLimit time.Duration
 }
 
 // handler returns the HTTP handler.
@@ -194,6 +196,9 @@
 
 // send writes a reply.
 func (a *callers) send(c *gin.Context, r reply) {
+	// The server's limit on writing counts from the request's header, but the caller
+	// may have waited long for its job. An error means that the connection is gone.
+	_ = http.NewResponseController(c.Writer).SetWriteDeadline(time.Now().Add(a.writeLimit))
 	if r.retryAfter > 0 {
 		seconds := (r.retryAfter + time.Second - 1) / time.Second
 		c.Header("Retry-After", strconv.Itoa(int(seconds)))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,6 +81,7 @@
 		}),
 	}
 	e.servers.cred = cred
+	e.servers.limits = defaultLimits
 	return e, nil
 }
 
@@ -114,7 +115,7 @@
 		clock: e.clock, minter: minter, submissions: subs, members: e.members,
 		client: e.client, metrics: e.metrics,
 	}
-	e.callers = &callers{router: e.router, state: e.state, notReady: e.notReady}
+	e.callers = &callers{router: e.router, state: e.state, notReady: e.notReady, writeLimit: e.servers.limits.write}
 	e.peers = &peers{router: e.router, members: e.members, syncer: e.syncer, loans: e.loans, status: e.Status}
 	d.onLeaving = func(worker string) { e.workers.markLeaving(worker) }
 	e.state.subscribe(e.refresh)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -13,17 +13,34 @@
 	"github.com/lavendercleat/lavendercleat/internal/peer"
 )
 
-const (
-	// readHeaderTimeout and readTimeout bound slow-sending callers.
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 16 << 10
-)
+// maxHeaderBytes bounds the header of a request.
+const maxHeaderBytes = 16 << 10
+
+// httpLimits bound what one connection may cost.
+type httpLimits struct {
+	// readHeader and read bound the time in which a request's header, and the whole
+	// request, must have arrived.
+	readHeader time.Duration
+	read       time.Duration
+	// write bounds the time in which the caller must have taken its answer.
+	write       time.Duration
+	idle        time.Duration
+	headerBytes int
+}
+
+// defaultLimits suit callers on mobile networks.
+var defaultLimits = httpLimits{
+	readHeader:  5 * time.Second,
+	read:        30 * time.Second,
+	write:       30 * time.Second,
+	idle:        time.Minute,
+	headerBytes: maxHeaderBytes,
+}
 
 // servers are the entry's listening sockets.
 type servers struct {
 	cred     peer.Credentials
+	limits   httpLimits
 	peer     *peer.Server
 	http     []*http.Server
 	caller   netip.AddrPort
@@ -75,12 +92,14 @@
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
+	limits := e.servers.limits
 	s := &http.Server{
 		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: limits.readHeader,
+		ReadTimeout:       limits.read,
+		WriteTimeout:      limits.write,
+		IdleTimeout:       limits.idle,
+		MaxHeaderBytes:    limits.headerBytes,
 	}
 	e.servers.http = append(e.servers.http, s)
 	go s.Serve(l)
