--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -121,15 +121,22 @@
 	mu   sync.Mutex
 	conn *trackedConn
 	mark int
+	// sent is set when bytes may have left on a connection that is not conn.
+	sent bool
 }
 
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.conn, _ = info.Conn.(*trackedConn)
 	if a.conn != nil {
-		a.mark = a.conn.mark()
+		a.sent = a.conn.seal(a.mark) || a.sent
+	}
+	a.conn, _ = info.Conn.(*trackedConn)
+	if a.conn == nil {
+		a.sent = true // a connection that isn't followed proves nothing
+		return
 	}
+	a.mark = a.conn.mark()
 }
 
 // seal tells whether the request may have left this process, and makes sure that it
@@ -137,14 +144,14 @@
 func (a *attempt) seal() (sent bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.conn != nil && a.conn.seal(a.mark)
+	return a.conn != nil && a.conn.seal(a.mark) || a.sent
 }
 
 // Do sends a task once and returns its result. It never sends a task again by
 // itself; net/http's own replays are off, for the body can't be read twice.
 //
 // Failures: DialFailed and NothingSent (NotRun), WorkerRefused and WorkerLeaving
-// (NotRun, the worker says so), TaskFailed, TaskTimeout, ConnectionLost and
+// (NotRun, the worker says so), TaskFailed, TaskTimeout, Canceled, ConnectionLost and
 // ReplyTooLarge (MayHaveRun).
 func (c *Client) Do(ctx context.Context, t Task) (Result, *verdict.Failure) {
 	var a attempt
@@ -188,6 +195,8 @@
 		return verdict.Wrap(err, verdict.NotRun, verdict.DialFailed, "no connection to worker %s", t.Worker)
 	case !sent:
 		return verdict.Wrap(err, verdict.NotRun, verdict.NothingSent, "nothing was sent to worker %s", t.Worker)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.Canceled, "the call of worker %s was given up", t.Worker)
 	case ctx.Err() != nil:
 		// No reply in time: the path may have gone silent for every connection made
 		// before now, so none of them is used again.
--- /dev/null
+++ b/internal/backend/replay_test.go
@@ -0,0 +1,250 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// stage is where a server breaks a connection.
+type stage int
+
+const (
+	// answer answers and keeps the connection.
+	answer stage = iota
+	// closeIdle answers, then closes the idle connection.
+	closeIdle
+	// resetIdle answers, then resets the idle connection.
+	resetIdle
+	// resetOnFirstByte resets the connection on the first byte of the request.
+	resetOnFirstByte
+	// closeOnFirstByte closes the connection on the first byte of the request.
+	closeOnFirstByte
+	// closeUnanswered reads the request and closes the connection.
+	closeUnanswered
+	// halfHeader closes the connection in the middle of the reply's header.
+	halfHeader
+	// halfBody closes the connection in the middle of the reply's body.
+	halfBody
+	stages
+)
+
+// rawServer speaks HTTP on bare connections and counts what it reads.
+type rawServer struct {
+	listener net.Listener
+	// next chooses the stage of the request with this number on its connection.
+	next func(n int) stage
+
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	read map[string]int
+	// partial counts the requests of which only the first byte was read.
+	partial int
+}
+
+func newRawServer(t *testing.T, next func(n int) stage) *rawServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &rawServer{listener: l, next: next, read: make(map[string]int)}
+	s.wg.Go(s.accept)
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *rawServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.wg.Go(func() { s.serve(c.(*net.TCPConn)) })
+	}
+}
+
+func (s *rawServer) close() {
+	s.listener.Close()
+	s.wg.Wait()
+}
+
+// serve serves one connection until its stage breaks it or the client closes it.
+func (s *rawServer) serve(c *net.TCPConn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		st := s.next(n)
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		if st == resetOnFirstByte || st == closeOnFirstByte {
+			s.mu.Lock()
+			s.partial++
+			s.mu.Unlock()
+			if st == resetOnFirstByte {
+				_ = c.SetLinger(0)
+			}
+			return
+		}
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.read[r.Header.Get(HeaderTask)]++
+		s.mu.Unlock()
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !s.reply(c, st) {
+			return
+		}
+	}
+}
+
+// reply answers as the stage says and tells whether the connection goes on.
+func (s *rawServer) reply(c *net.TCPConn, st stage) bool {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue"
+	switch st {
+	case closeUnanswered:
+		return false
+	case halfHeader:
+		_, _ = io.WriteString(c, whole[:20])
+		return false
+	case halfBody:
+		_, _ = io.WriteString(c, whole[:len(whole)-2])
+		return false
+	}
+	_, err := io.WriteString(c, whole)
+	if st == resetIdle {
+		// Only the reset of an idle connection is meant: the reply must get through.
+		time.Sleep(time.Millisecond)
+		_ = c.SetLinger(0)
+	}
+	return err == nil && st == answer
+}
+
+func newTestClient(t *testing.T) *Client {
+	t.Helper()
+	c := NewClient(Config{
+		IdleTimeout: 10 * time.Second, DialTimeout: 5 * time.Second, SilenceTimeout: 5 * time.Second, MaxReplyBytes: 1 << 20,
+	})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func (s *rawServer) task(index int) Task {
+	return Task{
+		Worker: s.listener.Addr().String(), Path: "/quote", Submission: "s", Index: index,
+		Remaining: time.Minute, Payload: []byte(`{"step":"render"}`),
+	}
+}
+
+// A worker breaks a reused connection at each stage of a task. The client sends the
+// task at most once, and says "not run" only if the worker read nothing of it: a
+// replay by net/http would start the task twice, and a wrong "not run" would make the
+// dispatcher start it again.
+func TestTaskIsNeverSentTwice(t *testing.T) {
+	for st := answer; st < stages; st++ {
+		t.Run(fmt.Sprint("stage ", int(st)), func(t *testing.T) {
+			// The first request of each connection is answered, so that the second meets a
+			// reused connection.
+			s := newRawServer(t, func(n int) stage {
+				if n == 0 && st != closeIdle && st != resetIdle {
+					return answer
+				}
+				return st
+			})
+			c := newTestClient(t)
+			failures := make([]*verdict.Failure, 200)
+			for i := range failures {
+				_, failures[i] = c.Do(t.Context(), s.task(i))
+				read, _ := s.counts(i)
+				assert.Assert(t, failures[i] != nil || read == 1, "task %d: %d requests read", i, read)
+			}
+			c.Close()
+			s.close()
+			for i, f := range failures {
+				read, _ := s.counts(i)
+				assert.Assert(t, read <= 1, "task %d was read %d times", i, read)
+				assert.Assert(t, read == 0 || f == nil || f.Verdict != verdict.NotRun, "task %d: %v", i, f)
+			}
+			s.checkPartial(t, failures)
+		})
+	}
+}
+
+// checkPartial checks that each request of which only a byte was read was told as one
+// that may have run.
+func (s *rawServer) checkPartial(t *testing.T, failures []*verdict.Failure) {
+	t.Helper()
+	unknown := 0
+	for _, f := range failures {
+		if f != nil && f.Verdict == verdict.MayHaveRun {
+			unknown++
+		}
+	}
+	_, partial := s.counts(0)
+	assert.Assert(t, partial <= unknown, "%d requests were begun, %d tasks may have run", partial, unknown)
+}
+
+// counts returns how often a task's request was read, and the partial ones in all.
+func (s *rawServer) counts(task int) (read, partial int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read[strconv.Itoa(task)], s.partial
+}
+
+// Many tasks at once meet connections that break at random stages, and are given up
+// at random moments, also while their request is being written. Whatever was told as
+// "not run" was never read, before or after the verdict; nothing is read twice, and
+// what succeeded was read once.
+func TestVerdictsAreTrueUnderRandomBreaks(t *testing.T) {
+	s := newRawServer(t, func(int) stage { return stage(rand.IntN(int(stages))) })
+	c := newTestClient(t)
+	const callers, each = 32, 150
+	verdicts := make([]*verdict.Failure, callers*each)
+	var wg sync.WaitGroup
+	for caller := range callers {
+		wg.Go(func() {
+			for n := range each {
+				i := caller*each + n
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rand.IntN(2000))*time.Microsecond)
+				if n%2 == 0 {
+					ctx = t.Context()
+				}
+				_, verdicts[i] = c.Do(ctx, s.task(i))
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	c.Close()
+	s.close()
+	s.checkPartial(t, verdicts)
+	notRun := 0
+	for i, f := range verdicts {
+		read, _ := s.counts(i)
+		assert.Assert(t, read <= 1, "task %d was read %d times", i, read)
+		switch {
+		case f == nil:
+			assert.Equal(t, read, 1, "task %d", i)
+		case f.Verdict == verdict.NotRun:
+			notRun++
+			assert.Equal(t, read, 0, "task %d was told as not run: %v", i, f)
+		}
+	}
+	_, partial := s.counts(0)
+	t.Logf("%d of %d tasks were not run, %d requests were cut at the first byte", notRun, len(verdicts), partial)
+}
