--- a/internal/load/system.go
+++ b/internal/load/system.go
@@ -147,7 +147,7 @@
 func (s *system) entrySettings(domain string) schema.EntrySettings {
 	return schema.EntrySettings{
 		CallerAddress: freePort, OperatorAddress: freePort, MetricsAddress: freePort, PeerAddress: freePort,
-		Domain: domain, PlatformUrl: s.url,
+		Domain: domain, PlatformUrl: s.url, PlatformWatchWait: 20 * time.Second, PlatformTimeout: platform.DefaultTimeout,
 		HeartbeatInterval: 500 * time.Millisecond, PeerTimeout: 2 * time.Second,
 		IdentifierWindow: time.Minute, AnswerRetention: 10 * time.Second, AnswerBytes: 1 << 30,
 		WorkerIdleTimeout: time.Second, WorkerDialTimeout: time.Second, WorkerSilenceTimeout: 4 * time.Second,
