--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -132,10 +133,16 @@
 		self:     self,
 		domain:   e.settings.Domain,
 		view: member.NewView(member.Config{
-			Self:        self.Address,
-			Incarnation: self.Incarnation,
-			Domain:      e.settings.Domain,
-			Timeout:     e.settings.PeerTimeout,
+			Self:          self.Address,
+			Incarnation:   self.Incarnation,
+			Domain:        e.settings.Domain,
+			Timeout:       e.settings.PeerTimeout,
+			RemoteTimeout: cmp.Or(e.settings.RemotePeerTimeout, e.settings.PeerTimeout),
+		}),
+		pace: member.NewPace(member.PaceConfig{
+			Domain:         e.settings.Domain,
+			Interval:       e.settings.HeartbeatInterval,
+			RemoteInterval: cmp.Or(e.settings.RemoteHeartbeatInterval, e.settings.HeartbeatInterval),
 		}),
 		onChange:    e.membersChanged,
 		onHeartbeat: e.heard,
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 
 	mu       sync.Mutex
 	view     *member.View
+	pace     *member.Pace
 	stopping bool
 }
 
@@ -117,6 +119,7 @@
 	}
 	m.mu.Lock()
 	changed := m.view.Heard(m.clock.Now(), p)
+	m.pace.Exchanged(m.clock.Now(), address)
 	for _, s := range h.GetSuccessors() {
 		m.takeSuccessor(s)
 	}
@@ -145,7 +148,7 @@
 	t := time.NewTicker(m.interval)
 	defer t.Stop()
 	for {
-		m.beat(ctx)
+		m.beat(ctx, m.due)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -154,18 +157,31 @@
 	}
 }
 
-// beat drops silent peers and sends one heartbeat to every candidate.
-func (m *membership) beat(ctx context.Context) {
+// due tells whether a heartbeat is due; called under the lock.
+func (m *membership) due(a netip.AddrPort) bool {
+	return m.pace.Due(m.clock.Now(), a, m.view.Domain(a), m.view.Peer(a) != nil)
+}
+
+// beat drops silent peers and sends one heartbeat to every candidate that is wanted;
+// to all for nil, when there is news that must not wait.
+func (m *membership) beat(ctx context.Context, wanted func(netip.AddrPort) bool) {
 	var candidates []netip.AddrPort
 	changed := false
 	m.with(func(v *member.View) {
 		changed = v.Tick(m.clock.Now())
 		candidates = v.Candidates()
+		m.pace.Keep(candidates)
+		if wanted != nil {
+			candidates = slices.DeleteFunc(candidates, func(a netip.AddrPort) bool { return !wanted(a) })
+		}
 	})
 	if changed {
 		m.log.WithField("event", "peer_changed").Warn("a peer went silent")
 		m.onChange()
 	}
+	if len(candidates) == 0 {
+		return
+	}
 	h := m.heartbeat()
 	for _, a := range candidates {
 		go m.send(ctx, a, h)
@@ -179,6 +195,7 @@
 	m.metrics.message("heartbeat")
 	reply, failure := m.client.Call(ctx, to, &schema.Request{Body: &schema.Request_Heartbeat{Heartbeat: h}})
 	if failure != nil {
+		m.with(func(*member.View) { m.pace.Failed(m.clock.Now(), to) })
 		return
 	}
 	if back := reply.GetHeartbeat(); back != nil {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -121,6 +121,9 @@
 			return errors.Newf("--%s is %s; accepted are %s to %s", b.flag, b.value, b.low, b.high)
 		}
 	}
+	if c.RemotePeerTimeout < 3*c.RemoteHeartbeatInterval {
+		return errors.Newf("--remote-peer-timeout is %s; accepted are 3 times --remote-heartbeat-interval (%s) and more", c.RemotePeerTimeout, c.RemoteHeartbeatInterval)
+	}
 	if c.PeerTimeout < 3*c.HeartbeatInterval {
 		return errors.Newf("--peer-timeout is %s; accepted are 3 times --heartbeat-interval (%s) and more", c.PeerTimeout, c.HeartbeatInterval)
 	}
@@ -131,6 +134,8 @@
 	return []durationBounds{
 		{"heartbeat-interval", c.HeartbeatInterval, 50 * time.Millisecond, 10 * time.Second},
 		{"peer-timeout", c.PeerTimeout, 150 * time.Millisecond, time.Minute},
+		{"remote-heartbeat-interval", c.RemoteHeartbeatInterval, 0, 10 * time.Second},
+		{"remote-peer-timeout", c.RemotePeerTimeout, 0, time.Minute},
 		{"identifier-window", c.IdentifierWindow, time.Second, time.Hour},
 		{"answer-retention", c.AnswerRetention, time.Second, time.Hour},
 		{"stop-timeout", c.StopTimeout, 0, 10 * time.Minute},
--- a/internal/load/system.go
+++ b/internal/load/system.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
@@ -30,6 +31,10 @@
 	workersPerRack = 8
 	// settleTimeout bounds the wait until all entries know each other.
 	settleTimeout = 15 * time.Second
+	// answerRetention is short: nobody asks for an answer again.
+	answerRetention = "10s"
+	// notRead stands for the files of the credentials, which are made in memory.
+	notRead = "none"
 )
 
 var freePort = netip.MustParseAddrPort("127.0.0.1:0")
@@ -129,7 +134,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range s.settings.Domains * s.settings.Entries {
-		e, err := entry.NewWithScheduler(s.entrySettings(domain(i, s.settings.Domains)), cred, log, c)
+		settings, err := s.entrySettings(domain(i, s.settings.Domains))
+		if err != nil {
+			return err
+		}
+		e, err := entry.NewWithScheduler(settings, cred, log, c)
 		if err != nil {
 			return err
 		}
@@ -144,14 +153,20 @@
 
 func domain(i, domains int32) string { return fmt.Sprintf("domain-%d", i%domains) }
 
-func (s *system) entrySettings(domain string) schema.EntrySettings {
-	return schema.EntrySettings{
-		CallerAddress: freePort, OperatorAddress: freePort, MetricsAddress: freePort, PeerAddress: freePort,
-		Domain: domain, PlatformUrl: s.url, PlatformWatchWait: 20 * time.Second, PlatformTimeout: platform.DefaultTimeout,
-		HeartbeatInterval: 500 * time.Millisecond, PeerTimeout: 2 * time.Second,
-		IdentifierWindow: time.Minute, AnswerRetention: 10 * time.Second, AnswerBytes: 1 << 30,
-		WorkerIdleTimeout: time.Second, WorkerDialTimeout: time.Second, WorkerSilenceTimeout: 4 * time.Second,
+// entrySettings returns an entry's settings as its command line would give them.
+func (s *system) entrySettings(domain string) (schema.EntrySettings, error) {
+	var c schema.EntrySettings
+	parser, err := kong.New(&c)
+	if err != nil {
+		return c, err
 	}
+	free := freePort.String()
+	_, err = parser.Parse([]string{
+		"--domain", domain, "--platform-url", s.url, "--answer-retention", answerRetention,
+		"--caller-address", free, "--operator-address", free, "--metrics-address", free, "--peer-address", free,
+		"--ca-file", notRead, "--cert-file", notRead, "--key-file", notRead,
+	})
+	return c, err
 }
 
 // vms returns the list of the entries and workers.
--- a/member/view.go
+++ b/member/view.go
@@ -17,6 +17,8 @@
 	// Timeout is the silence after which a peer counts as dead. It must be several
 	// heartbeat intervals.
 	Timeout time.Duration
+	// RemoteTimeout is the same for a peer of another failure domain.
+	RemoteTimeout time.Duration
 }
 
 // Peer is what is known of another entry.
@@ -90,6 +92,14 @@
 	return all
 }
 
+// Domain returns the failure domain of an address, "" while it is not known.
+func (v *View) Domain(a netip.AddrPort) string {
+	if p := v.peers[a]; p != nil {
+		return p.Domain
+	}
+	return v.candidates[a]
+}
+
 // Known tells whether an address belongs to an entry. Only known addresses may be
 // connected to: an address inside an identifier is caller input.
 func (v *View) Known(a netip.AddrPort) bool {
@@ -123,6 +133,9 @@
 }
 
 func (v *View) live(p *Peer, now time.Duration) bool {
+	if p.Domain != v.config.Domain {
+		return now-p.Heard <= v.config.RemoteTimeout
+	}
 	return now-p.Heard <= v.config.Timeout
 }
 
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -57,6 +57,10 @@
 	PlatformWatchWait time.Duration `name:"platform-watch-wait" env:"LAVENDERCLEAT_PLATFORM_WATCH_WAIT" help:"Longest wait of one watch at the platform's service, which counts each as a call." default:"20s"`
 	// Longest time for the platform's service to answer a call; a watch gets it beyond its wait.
 	PlatformTimeout time.Duration `name:"platform-timeout" env:"LAVENDERCLEAT_PLATFORM_TIMEOUT" help:"Longest time for the platform's service to answer a call; a watch gets it beyond its wait." default:"12s"`
+	// Time between heartbeats with an entry of another failure domain; 0 means as in the own.
+	RemoteHeartbeatInterval time.Duration `name:"remote-heartbeat-interval" env:"LAVENDERCLEAT_REMOTE_HEARTBEAT_INTERVAL" help:"Time between heartbeats with an entry of another failure domain; 0 means as in the own." default:"2s"`
+	// Silence after which a peer of another failure domain counts as dead; 0 means as in the own.
+	RemotePeerTimeout time.Duration `name:"remote-peer-timeout" env:"LAVENDERCLEAT_REMOTE_PEER_TIMEOUT" help:"Silence after which a peer of another failure domain counts as dead; 0 means as in the own." default:"6s"`
 }
 
 // LogSettings are the settings of the log.
