--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -91,6 +91,7 @@
 	run := &jobRun{
 		submission:  r.ID,
 		path:        kind.GetPath(),
+		idempotent:  kind.GetIdempotent(),
 		deadline:    deadline,
 		taskTimeout: time.Duration(kind.GetTaskTimeoutMs()) * time.Millisecond,
 		payloads:    payloads(j),
@@ -137,6 +138,13 @@
 		s.close(r, failedEnding(r.ID, kind, f))
 		return
 	}
+	// A larger answer can't be passed on: a caller at another entry would be told for
+	// ever to ask again.
+	if len(body) > peer.MaxAnswer {
+		f = verdict.New(verdict.MayHaveRun, verdict.ReplyTooLarge, "the results are over %d bytes together; split the job", peer.MaxAnswer)
+		s.close(r, failedEnding(r.ID, kind, f))
+		return
+	}
 	s.close(r, submission.Ending{Status: http.StatusOK, Body: body})
 }
 
--- a/test/cluster/worker.go
+++ b/test/cluster/worker.go
@@ -92,16 +92,34 @@
 	for _, other := range c.Workers {
 		if other.Process == w.Process {
 			other.dead = true
+			other.cut() // a proxy would go on accepting connections for it
 		}
 	}
 }
 
+func (w *Worker) cut() {
+	if w.Relay != nil {
+		w.Relay.Cut()
+		return
+	}
+	w.Link.Cut()
+}
+
+func (w *Worker) restore() {
+	if w.Relay != nil {
+		w.Relay.Restore()
+		return
+	}
+	w.Link.Restore()
+}
+
 // RestartWorker starts a killed backend server again at its address. It had a process
 // of its own.
 func (c *Cluster) RestartWorker(w *Worker) {
 	c.t.Helper()
 	w.Process, w.witness, _ = c.runWorkers(w.Domain, strings.TrimPrefix(w.URL, "http://"), 1)
 	w.dead = false
+	w.restore()
 }
 
 // Behave sets a backend server's behaviour.
--- /dev/null
+++ b/test/failure/answer_test.go
@@ -0,0 +1,151 @@
+package failure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+)
+
+// 200 callers ask at once through other entries than the owners of their identifiers.
+// Results differ in run time, so answers cross on the way, and are larger than any
+// packet. Each caller checks that the answer is whole and its own.
+func TestCrossedAnswersOf200Callers(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 2, Entries: 2, Workers: 3})
+	l := cluster.NewLedger()
+	var wg sync.WaitGroup
+	for n := range 200 {
+		wg.Go(func() {
+			job := cluster.Job(cluster.Booking, fmt.Sprint(n), 1+n%4)
+			for i := range job.Tasks {
+				job.Tasks[i].Payload = json.RawMessage(fmt.Sprintf(`{"caller":%d,"task":%d,"run_ms":%d,"reply_bytes":%d}`, n, i, (n*37+i*11)%80, (n%20)*10_000))
+			}
+			r, err := l.Submit(t.Context(), pick(c, n), job)
+			if assert.Check(t, err) && r.Verdict != "not-run" { // a burst may be refused
+				cluster.CheckWhole(t, job, r)
+			}
+		})
+	}
+	wg.Wait()
+	r := l.Check(t, c.Witness())
+	t.Log(r)
+	assert.Assert(t, r.Complete >= 100, "%s", r)
+}
+
+// The results of a job add up to more than one message between entries can carry. The
+// caller must hear the same clear failure at the owner and through another entry,
+// where it would otherwise be told for ever to ask again.
+func TestAnswerTooLargeToPassOn(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 1})
+	l := cluster.NewLedger()
+	owner, other := c.Entries[0].Client(cluster.Token), c.Entries[1].Client(cluster.Token)
+	job := cluster.Job(cluster.Quote, "large", 6)
+	for i := range job.Tasks {
+		job.Tasks[i].Payload = json.RawMessage(fmt.Sprintf(`{"task":%d,"reply_bytes":6000000}`, i))
+	}
+	id := reserve(t, owner)
+	for _, e := range []*client.Client{other, owner} {
+		r, err := l.Put(t.Context(), e, id, job)
+		assert.NilError(t, err)
+		assert.Equal(t, r.Outcome, client.Failed)
+		assert.Equal(t, r.Reason, "reply_too_large")
+	}
+	l.Check(t, c.Witness())
+}
+
+// A caller leaves while its booking runs and comes back through another entry: with
+// GET, which says that it runs, and with the same PUT, which joins it. It gets the
+// answer of the one run.
+func TestCallerLeavesAndComesBack(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 3, Workers: 1, RunTime: 2 * time.Second})
+	l := cluster.NewLedger()
+	id := reserve(t, c.Entries[0].Client(cluster.Token))
+	job := cluster.Job(cluster.Booking, "left", 2)
+	ctx, leave := context.WithCancel(t.Context())
+	gone := make(chan struct{})
+	go func() {
+		_, _ = l.Put(ctx, c.Entries[1].Client(cluster.Token), id, job) // canceled below
+		close(gone)
+	}()
+	cluster.Eventually(t, 10*time.Second, "the booking runs", func() bool { return c.Witness().Starts == 2 })
+	leave()
+	<-gone
+
+	other := c.Entries[2].Client(cluster.Token)
+	r, err := other.Get(t.Context(), id)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Status, http.StatusAccepted)
+	assert.Assert(t, r.RetryAfter > 0)
+	r, err = l.Put(t.Context(), other, id, job)
+	assert.NilError(t, err)
+	cluster.CheckWhole(t, job, r)
+	r, err = other.Get(t.Context(), id)
+	assert.NilError(t, err)
+	l.Told(id, r)
+	report := l.Check(t, c.Witness())
+	assert.Equal(t, report.Starts, int64(2))
+}
+
+// 1,000 callers cancel their jobs within moments, most of them still waiting for a
+// slot. Each job ends once, its caller and its canceller hear the same, no slot stays
+// taken, and the next booking is served at once.
+func TestWaveOfCancellations(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 2, Slots: 4})
+	const jobs = 1000
+	l := cluster.NewLedger()
+	clients := []*client.Client{c.Entries[0].Client(cluster.Token), c.Entries[1].Client(cluster.Token)}
+	for _, k := range clients {
+		k.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: jobs}}
+	}
+	var ids []string
+	for i := range clients {
+		half, err := clients[i].Reserve(t.Context(), jobs/2)
+		assert.NilError(t, err)
+		ids = append(ids, half...)
+	}
+	job := cluster.Job(cluster.Quote, "canceled", 2)
+	for i := range job.Tasks {
+		job.Tasks[i].Payload = json.RawMessage(`{"run_ms":3000}`)
+	}
+	var wg sync.WaitGroup
+	var canceled sync.Map
+	for n, id := range ids {
+		l.Sent(id, job)
+		wg.Go(func() {
+			_, err := l.Put(t.Context(), clients[n%2], id, job)
+			assert.Check(t, err)
+		})
+		wg.Go(func() {
+			r, err := clients[(n+1)%2].Delete(t.Context(), id)
+			if assert.Check(t, err) {
+				l.Told(id, r)
+				canceled.Store(id, r.Reason == "canceled")
+			}
+		})
+	}
+	wg.Wait()
+	ended := time.Now()
+	waitIdle(t, c)
+	after := cluster.Job(cluster.Booking, "after", 4)
+	r, err := l.Submit(t.Context(), pick(c, 0), after)
+	assert.NilError(t, err)
+	cluster.CheckWhole(t, after, r)
+	t.Logf("slots free and a booking whole %s after the last cancellation", time.Since(ended).Round(time.Millisecond))
+	n := 0
+	canceled.Range(func(_, was any) bool {
+		if was.(bool) {
+			n++
+		}
+		return true
+	})
+	t.Logf("%d ended as canceled; %s", n, l.Check(t, c.Witness()))
+	assert.Assert(t, n > jobs/2)
+}
