--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,12 +24,20 @@
 	sealed bool
 	// writes counts the calls of Write that may have sent something.
 	writes int
+	// deadline of the request on the connection; none when zero.
+	deadline time.Time
 }
 
 // Write counts the call before it reaches the socket, and takes the count back only
 // when the kernel accepted nothing.
 func (c *trackedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
+	// The process may have been frozen since the deadline was last checked. Its timers
+	// fire only some time after it woke, and a task sent before that would start after
+	// its caller gave up.
+	if !c.deadline.IsZero() && !time.Now().Before(c.deadline) {
+		c.sealed = true
+	}
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, errSealed
@@ -44,6 +53,13 @@
 	return n, err
 }
 
+// setDeadline sets the deadline of the request that the connection was taken for.
+func (c *trackedConn) setDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+}
+
 // mark returns the count of writes, to be compared by seal.
 func (c *trackedConn) mark() int {
 	c.mu.Lock()
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -213,6 +213,7 @@
 		AnswerBytes:          128 << 20,
 		StopTimeout:          5 * time.Second,
 		WorkerIdleTimeout:    time.Second,
+		WorkerReuseTimeout:   100 * time.Millisecond,
 		WorkerDialTimeout:    time.Second,
 		WorkerSilenceTimeout: 4 * time.Second,
 		PlatformWatchWait:    20 * time.Second,
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -43,6 +43,7 @@
 type jobRun struct {
 	submission  string
 	path        string
+	idempotent  bool
 	deadline    time.Duration
 	taskTimeout time.Duration
 	payloads    []json.RawMessage
@@ -212,6 +213,7 @@
 		Path:       j.path,
 		Submission: j.submission,
 		Index:      st.Task,
+		Idempotent: j.idempotent,
 		Remaining:  remaining,
 		Payload:    j.payloads[st.Task],
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,7 @@
 		platform: platform.NewClientTimeout(c.PlatformUrl, c.PlatformTimeout),
 		backend: backend.NewClient(backend.Config{
 			IdleTimeout:    c.WorkerIdleTimeout,
+			ReuseTimeout:   c.WorkerReuseTimeout,
 			DialTimeout:    c.WorkerDialTimeout,
 			SilenceTimeout: c.WorkerSilenceTimeout,
 			MaxReplyBytes:  maxReplyBytes,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -141,6 +141,7 @@
 		{"stop-timeout", c.StopTimeout, 0, 10 * time.Minute},
 		{"stop-delay", c.StopDelay, 0, time.Minute},
 		{"worker-idle-timeout", c.WorkerIdleTimeout, 10 * time.Millisecond, time.Minute},
+		{"worker-reuse-timeout", c.WorkerReuseTimeout, time.Millisecond, time.Minute},
 		{"worker-dial-timeout", c.WorkerDialTimeout, 10 * time.Millisecond, time.Minute},
 		{"platform-watch-wait", c.PlatformWatchWait, time.Second, 5 * time.Minute},
 		{"platform-timeout", c.PlatformTimeout, 100 * time.Millisecond, time.Minute},
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lavendercleat/lavendercleat/internal/clock"
+	"github.com/lavendercleat/lavendercleat/internal/peer"
 	"github.com/lavendercleat/lavendercleat/sched"
 	"github.com/lavendercleat/lavendercleat/schema"
 	"github.com/lavendercleat/lavendercleat/submission"
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -61,6 +61,8 @@
 	RemoteHeartbeatInterval time.Duration `name:"remote-heartbeat-interval" env:"LAVENDERCLEAT_REMOTE_HEARTBEAT_INTERVAL" help:"Time between heartbeats with an entry of another failure domain; 0 means as in the own." default:"2s"`
 	// Silence after which a peer of another failure domain counts as dead; 0 means as in the own.
 	RemotePeerTimeout time.Duration `name:"remote-peer-timeout" env:"LAVENDERCLEAT_REMOTE_PEER_TIMEOUT" help:"Silence after which a peer of another failure domain counts as dead; 0 means as in the own." default:"6s"`
+	// Idle time after which a connection to a worker takes no task that is not idempotent.
+	WorkerReuseTimeout time.Duration `name:"worker-reuse-timeout" env:"LAVENDERCLEAT_WORKER_REUSE_TIMEOUT" help:"Idle time after which a connection to a worker takes no task that is not idempotent." default:"100ms"`
 }
 
 // LogSettings are the settings of the log.
