--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/mattn/go-isatty"
@@ -24,15 +25,39 @@
 	schema.LoadSettings
 }
 
-// Run sends the load and prints the report.
-func (c *loadRunCommand) Run(s *streams) error {
-	p := load.SettingsProfile(c.LoadSettings)
-	if c.Profile != "" {
-		var err error
-		if p, err = load.ReadProfile(c.Profile); err != nil {
+// Validate checks the settings, the profile's file included.
+func (c *loadRunCommand) Validate() error {
+	for _, u := range c.Urls {
+		if err := checkURL("urls", u); err != nil {
 			return err
 		}
 	}
+	for _, u := range c.MetricsUrls {
+		if err := checkURL("metrics-urls", strings.TrimSuffix(u, "/metrics")); err != nil {
+			return err
+		}
+	}
+	p, err := c.profile()
+	if err != nil {
+		return err
+	}
+	return load.Remote(c.LoadSettings, p, nil).Check()
+}
+
+// profile returns the profile of the file, or of the flags without one.
+func (c *loadRunCommand) profile() (schema.LoadProfile, error) {
+	if c.Profile != "" {
+		return load.ReadProfile(c.Profile)
+	}
+	return load.SettingsProfile(c.LoadSettings), nil
+}
+
+// Run sends the load and prints the report.
+func (c *loadRunCommand) Run(s *streams) error {
+	p, err := c.profile()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := untilSignal()
 	defer cancel()
 	r, err := load.Remote(c.LoadSettings, p, terminal(s.err)).Do(ctx)
@@ -50,19 +75,32 @@
 	schema.ExperimentSettings
 }
 
+// Validate checks the settings, the profile's file included.
+func (c *loadExperimentCommand) Validate() error {
+	if _, err := c.profile(); err != nil {
+		return err
+	}
+	return load.CheckExperiment(c.ExperimentSettings)
+}
+
+// profile returns the profile of the file, or today's mix of jobs without one.
+func (c *loadExperimentCommand) profile() (schema.LoadProfile, error) {
+	if c.Profile != "" {
+		return load.ReadProfile(c.Profile)
+	}
+	return load.DefaultProfile(), nil
+}
+
 // Run runs the experiments and prints their reports.
 func (c *loadExperimentCommand) Run(s *streams) error {
-	p := load.DefaultProfile()
-	if c.Profile != "" {
-		var err error
-		if p, err = load.ReadProfile(c.Profile); err != nil {
-			return err
-		}
+	p, err := c.profile()
+	if err != nil {
+		return err
 	}
 	ctx, cancel := untilSignal()
 	defer cancel()
 	var reports []schema.LoadReport
-	err := load.Experiment(ctx, c.ExperimentSettings, p, terminal(s.err), func(r schema.LoadReport) error {
+	err = load.Experiment(ctx, c.ExperimentSettings, p, terminal(s.err), func(r schema.LoadReport) error {
 		reports = append(reports, r)
 		if c.Json {
 			return printJSON(s.out, r)
--- a/internal/cli/settings_test.go
+++ b/internal/cli/settings_test.go
@@ -35,6 +35,7 @@
 	file := func(name string) string { return filepath.Join(dir, name) }
 	goodEntry := []string{"entry", "--domain=krk-a", "--platform-url=http://127.0.0.1:1",
 		"--ca-file=" + file("ca.pem"), "--cert-file=" + file("cert.pem"), "--key-file=" + file("key.pem")}
+	goodLoad := []string{"load", "--urls=http://127.0.0.1:1", "--token=t"}
 	hash := strings.Repeat("ab", 32)
 	tests := []struct {
 		command []string
@@ -112,6 +113,20 @@
 		{[]string{"standin", "backend"}, "--slots=many", []string{"--slots", "int"}},
 		{[]string{"standin", "backend"}, "--connections=-5", []string{"--connections", "1 to 100000"}},
 		{[]string{"standin", "backend"}, "--run-time=-5ms", []string{"--run-time", "0s to 1h"}},
+		{goodEntry, "--remote-heartbeat-interval=1m", []string{"--remote-heartbeat-interval", "0s to 10s"}},
+		{goodEntry, "--remote-peer-timeout=1s", []string{"--remote-peer-timeout", "3 times --remote-heartbeat-interval"}},
+		{goodLoad, "--urls=entry", []string{"--urls", "http://host:port"}},
+		{goodLoad, "--metrics-urls=entry", []string{"--metrics-urls", "http://host:port"}},
+		{goodLoad, "--jobs-per-second=0", []string{"--jobs-per-second", "above 0"}},
+		{goodLoad, "--duration=0s", []string{"--duration", "1s and more"}},
+		{goodLoad, "--max-tasks=500", []string{"max_tasks", "1 to 160"}},
+		{goodLoad, "--cancel-share=2", []string{"cancel_share", "0 to 1"}},
+		{goodLoad, "--profile=" + file("text.pem"), []string{"not a load profile"}},
+		{[]string{"load", "experiment"}, "--policy=best", []string{"--policy", "accepted"}},
+		{[]string{"load", "experiment"}, "--load=0", []string{"--load", "above 0"}},
+		{[]string{"load", "experiment"}, "--workers=1", []string{"--workers", "3 to 2000"}},
+		{[]string{"load", "experiment"}, "--fault=fire", []string{"--fault", "black-hole"}},
+		{[]string{"load", "experiment", "--one-entry"}, "--fault=entry-killed", []string{"--fault", "--one-entry"}},
 		{[]string{"lead"}, "--now", []string{"lead", "--help"}},
 	}
 	for _, test := range tests {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// check returns an error that names the flag and the accepted values.
-func (r Run) check() error {
+// Check returns an error that names the flag and the accepted values.
+func (r Run) Check() error {
 	switch {
 	case r.JobsPerSecond <= 0:
 		return errors.Newf("--jobs-per-second is %v; accepted are numbers above 0", r.JobsPerSecond)
@@ -55,7 +55,7 @@
 
 // Do runs the load and returns its report.
 func (r Run) Do(ctx context.Context) (schema.LoadReport, error) {
-	if err := r.check(); err != nil {
+	if err := r.Check(); err != nil {
 		return schema.LoadReport{}, err
 	}
 	roundTrip, err := r.roundTrips(ctx)
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -172,4 +172,6 @@
 	Json bool `name:"json" env:"LAVENDERCLEAT_JSON" help:"Print one report per line as JSON instead of a table."`
 	// Run the policies of each load at the same time, each in a system of its own.
 	SideBySide bool `name:"side-by-side" env:"LAVENDERCLEAT_SIDE_BY_SIDE" help:"Run the policies of each load at the same time, each in a system of its own."`
+	// Time from sending a job to its deadline; the profile's when 0.
+	Deadline time.Duration `name:"deadline" env:"LAVENDERCLEAT_DEADLINE" help:"Time from sending a job to its deadline; the profile's when 0." default:"0s"`
 }
