--- a/config/validate.go
+++ b/config/validate.go
@@ -13,7 +13,7 @@
 // Bounds of what a document may ask for.
 const (
 	MaxTasks      = 160
-	MaxBodyBytes  = 64 << 20
+	MaxBodyBytes  = 16 << 20
 	MaxDeadlineMS = 10 * 60 * 1000
 )
 
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/lavendercleat/lavendercleat/config"
 	"github.com/lavendercleat/lavendercleat/internal/backend"
 	"github.com/lavendercleat/lavendercleat/internal/clock"
+	"github.com/lavendercleat/lavendercleat/internal/peer"
 	"github.com/lavendercleat/lavendercleat/sched"
 	"github.com/lavendercleat/lavendercleat/verdict"
 )
@@ -48,10 +50,35 @@
 	taskTimeout time.Duration
 	payloads    []json.RawMessage
 	results     []json.RawMessage
+	// size is the bytes of the results so far.
+	size int
 	// finish is called once, with the results or the failure.
 	finish func([]json.RawMessage, *verdict.Failure)
 }
 
+// maxResultBytes bounds the results of one job. A larger answer would not fit into
+// one message between entries: its caller at another entry would never get it.
+const maxResultBytes = 16 << 20
+
+// Messages between entries have room for the largest answer and the largest body.
+const (
+	_ = uint(peer.MaxMessage - maxResultBytes - messageOverhead)
+	_ = uint(peer.MaxMessage - config.MaxBodyBytes - messageOverhead)
+	// messageOverhead is what a message has besides an answer or a body.
+	messageOverhead = 1 << 20
+)
+
+// keep takes in a task's result.
+func (j *jobRun) keep(task int, result json.RawMessage) *verdict.Failure {
+	j.size += len(result)
+	if j.size > maxResultBytes {
+		return verdict.New(verdict.MayHaveRun, verdict.ReplyTooLarge,
+			"the results are over %d bytes in all; split the job", maxResultBytes)
+	}
+	j.results[task] = result
+	return nil
+}
+
 func newDispatcher(c *clock.Clock, client *backend.Client, m *Metrics, s sched.Config) *dispatcher {
 	return &dispatcher{
 		clock:      c,
@@ -193,7 +220,7 @@
 		delete(d.calls, key)
 		// A job that has ended hands out its results: a late one must not write there.
 		if failure == nil && d.jobs[st.Job] == j {
-			j.results[st.Task] = res.Body
+			failure = j.keep(st.Task, res.Body)
 		}
 		d.sched.Done(now, st, sched.Outcome{Failure: failure, Leaving: res.Leaving})
 	})
