--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -211,7 +211,7 @@
 		IdentifierWindow:     5 * time.Minute,
 		AnswerRetention:      5 * time.Minute,
 		AnswerBytes:          128 << 20,
-		StopTimeout:          5 * time.Second,
+		StopTimeout:          c.stopTimeout(),
 		WorkerIdleTimeout:    time.Second,
 		WorkerReuseTimeout:   100 * time.Millisecond,
 		WorkerDialTimeout:    time.Second,
@@ -220,3 +220,12 @@
 		PlatformTimeout:      platform.DefaultTimeout,
 	}
 }
+
+// stopTimeout returns how long a stop waits for jobs in flight, and then for an entry
+// that takes the answers over, of which dev has none.
+func (c *devCommand) stopTimeout() time.Duration {
+	if c.Once {
+		return 0
+	}
+	return time.Second
+}
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -125,6 +125,11 @@
 	d.step(func(now time.Duration) { d.sched.Cancel(now, key) })
 }
 
+// stop ends every job.
+func (d *dispatcher) stop() {
+	d.step(func(time.Duration) { d.sched.Stop() })
+}
+
 // tick lets the scheduler act on the time.
 func (d *dispatcher) tick() {
 	d.step(func(now time.Duration) { d.sched.Tick(now) })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,9 +49,18 @@
 	client   *peer.Client
 	platform *platform.Client
 	servers  servers
+	handover *handover
+	// stopping is set when a planned stop begins, sealed when no job is started any
+	// more.
 	stopping atomic.Bool
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	sealed   atomic.Bool
+	// inFlight counts callers' requests being served.
+	inFlight atomic.Int64
+	// requests is the context of all HTTP requests.
+	requests       context.Context
+	cancelRequests context.CancelFunc
+	cancel         context.CancelFunc
+	wg             sync.WaitGroup
 }
 
 // New puts an entry together; Start starts it.
@@ -84,6 +93,7 @@
 	}
 	e.servers.cred = cred
 	e.servers.limits = defaultLimits
+	e.requests, e.cancelRequests = context.WithCancel(context.Background())
 	return e, nil
 }
 
@@ -107,18 +117,22 @@
 	}
 	e.members = e.newMembership(process)
 	e.workers = &workers{
-		state: e.state, members: e.members, dispatcher: d, client: e.backend,
-		domain: e.settings.Domain, leaving: make(map[string]bool),
+		clock: e.clock, state: e.state, members: e.members, dispatcher: d, client: e.backend,
+		domain: e.settings.Domain, leaving: member.NewLeaving(),
 	}
 	e.loans = &loans{self: process, client: e.client, members: e.members, dispatcher: d, metrics: e.metrics}
 	d.onBorrow, d.onGiveBack = e.loans.borrow, e.loans.giveBack
 	subs := newSubmissions(e, minter, d)
 	e.router = &router{
 		clock: e.clock, minter: minter, submissions: subs, members: e.members,
-		client: e.client, metrics: e.metrics,
+		client: e.client, metrics: e.metrics, predecessors: submission.NewPredecessors(),
+		settled: e.settings.PeerTimeout,
+	}
+	e.handover = e.newHandover(subs)
+	e.callers = &callers{router: e.router, state: e.state, notReady: e.refusesNew, writeLimit: e.servers.limits.write}
+	e.peers = &peers{
+		router: e.router, members: e.members, syncer: e.syncer, loans: e.loans, handover: e.handover, status: e.Status,
 	}
-	e.callers = &callers{router: e.router, state: e.state, notReady: e.notReady, writeLimit: e.servers.limits.write}
-	e.peers = &peers{router: e.router, members: e.members, syncer: e.syncer, loans: e.loans, status: e.Status}
 	d.onLeaving = func(worker string) { e.workers.markLeaving(worker) }
 	e.state.subscribe(e.refresh)
 	e.publishGauges()
@@ -148,6 +162,7 @@
 		onChange:    e.membersChanged,
 		onHeartbeat: e.heard,
 		fill:        e.fillHeartbeat,
+		settle:      e.settle,
 	}
 }
 
@@ -157,9 +172,29 @@
 	e.loans.update()
 }
 
+func (e *Entry) newHandover(subs *submissions) *handover {
+	return &handover{
+		clock:        e.clock,
+		submissions:  subs,
+		predecessors: e.router.predecessors,
+		members:      e.members,
+		client:       e.client,
+		log:          e.log,
+		metrics:      e.metrics,
+		refuses:      e.stopping.Load,
+	}
+}
+
+// settle returns the time after an identifier's minting after which its owner neither
+// starts its job nor tells an answer of it.
+func (e *Entry) settle() time.Duration {
+	deadline := time.Duration(e.state.config().Document().GetLimits().GetMaxDeadlineMs()) * time.Millisecond
+	return e.settings.IdentifierWindow + deadline + e.settings.AnswerRetention
+}
+
 // heard acts on what a peer's heartbeat tells.
 func (e *Entry) heard(h *schema.Heartbeat) {
-	e.workers.markLeaving(h.GetLeavingWorkers()...)
+	e.workers.takeLeaving(h.GetLeaving())
 	e.loans.heard(h)
 	e.wg.Go(func() { e.syncer.peerAhead(context.Background(), h) })
 }
@@ -169,7 +204,7 @@
 	h.ConfigRevision = e.state.config().Revision()
 	h.VmListVersion = e.state.vmList().GetVersion()
 	h.FreeSlots = uint32(e.workers.dispatcher.load().Lendable)
-	h.LeavingWorkers = e.workers.leavingList()
+	h.Leaving = e.workers.leavingList()
 }
 
 // refresh acts on a change of the configuration or the VM list.
@@ -206,11 +241,16 @@
 	e.metrics.gauge(`platform_bytes_total{direction="received"}`, func() float64 { return float64(calls.Received.Load()) })
 }
 
-// notReady says why new work is refused, nil when it is not.
+// notReady says why the balancer should send no work, nil when it should.
 func (e *Entry) notReady() *verdict.Failure {
 	if e.stopping.Load() {
 		return verdict.New(verdict.NotRun, verdict.Stopping, "this entry is stopping; ask another").After(time.Second)
 	}
+	return e.unable()
+}
+
+// unable says why no work can be done here, nil when it can.
+func (e *Entry) unable() *verdict.Failure {
 	if why := e.state.lacks(); why != "" {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "%s", why).After(time.Second)
 	}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -15,6 +15,11 @@
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
+// pauseLimit is how late a tick may be before the process counts as paused: far above
+// what scheduling and collecting garbage cost, below the time after which peers take a
+// silent entry's slots.
+const pauseLimit = time.Second
+
 // membership exchanges heartbeats with the peers and keeps the view of them.
 type membership struct {
 	clock    *clock.Clock
@@ -30,11 +35,17 @@
 	onHeartbeat func(*schema.Heartbeat)
 	// fill adds what this entry has to tell to an outgoing heartbeat.
 	fill func(*schema.Heartbeat)
+	// settle returns the time after an identifier's minting after which its owner
+	// neither starts its job nor tells an answer of it.
+	settle func() time.Duration
 
-	mu       sync.Mutex
-	view     *member.View
-	pace     *member.Pace
-	stopping bool
+	mu   sync.Mutex
+	view *member.View
+	pace *member.Pace
+	// handedBack is set once this entry, which is stopping, needs its slots no more.
+	handedBack bool
+	// lastBeat is the time of the latest beat, by which a pause is noticed.
+	lastBeat time.Duration
 }
 
 // with runs fn on the view under its lock.
@@ -48,7 +59,7 @@
 func (m *membership) members() []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.view.Members(m.stopping)
+	return m.view.Members()
 }
 
 // known tells whether an address belongs to an entry.
@@ -88,20 +99,27 @@
 		Domain:      m.domain,
 	}
 	m.mu.Lock()
-	h.Stopping = m.stopping
-	m.view.Successors(func(stopped, successor member.Process) {
-		h.Successors = append(h.Successors, &schema.Successor{
-			Address:              stopped.Address.String(),
-			Incarnation:          stopped.Incarnation,
-			Successor:            successor.Address.String(),
-			SuccessorIncarnation: successor.Incarnation,
-		})
+	h.Stopping = m.handedBack
+	m.view.Successors(m.clock.Now(), func(stopped, successor member.Process, keep time.Duration) {
+		h.Successors = append(h.Successors, successorMessage(stopped, successor, keep))
 	})
 	m.mu.Unlock()
 	m.fill(h)
+	h.SettleMs = m.settle().Milliseconds()
+	h.ClockMs = m.clock.Now().Milliseconds()
 	return h
 }
 
+func successorMessage(stopped, successor member.Process, keep time.Duration) *schema.Successor {
+	return &schema.Successor{
+		Address:              stopped.Address.String(),
+		Incarnation:          stopped.Incarnation,
+		Successor:            successor.Address.String(),
+		SuccessorIncarnation: successor.Incarnation,
+		KeepMs:               keep.Milliseconds(),
+	}
+}
+
 // take takes in a peer's heartbeat.
 func (m *membership) take(h *schema.Heartbeat) {
 	address, err := netip.ParseAddrPort(h.GetAddress())
@@ -116,14 +134,20 @@
 		FreeSlots:      int(h.GetFreeSlots()),
 		ConfigRevision: h.GetConfigRevision(),
 		VMListVersion:  h.GetVmListVersion(),
+		Clock:          time.Duration(h.GetClockMs()) * time.Millisecond,
+		Settle:         time.Duration(h.GetSettleMs()) * time.Millisecond,
 	}
 	m.mu.Lock()
+	restarted := m.view.Peer(address) == nil || m.view.Peer(address).Incarnation != p.Incarnation
 	changed := m.view.Heard(m.clock.Now(), p)
 	m.pace.Exchanged(m.clock.Now(), address)
 	for _, s := range h.GetSuccessors() {
 		m.takeSuccessor(s)
 	}
 	m.mu.Unlock()
+	if restarted {
+		m.client.Restarted(address, p.Clock)
+	}
 	if changed {
 		m.log.WithFields(logrus.Fields{"event": "peer_changed", "peer": address, "stopping": p.Stopping}).Info("peer is alive")
 		m.onChange()
@@ -138,8 +162,10 @@
 		return
 	}
 	m.view.SetSuccessor(
+		m.clock.Now(),
 		member.Process{Address: stopped, Incarnation: s.GetIncarnation()},
 		member.Process{Address: successor, Incarnation: s.GetSuccessorIncarnation()},
+		time.Duration(s.GetKeepMs())*time.Millisecond,
 	)
 }
 
@@ -162,34 +188,91 @@
 	return m.pace.Due(m.clock.Now(), a, m.view.Domain(a), m.view.Peer(a) != nil)
 }
 
-// beat drops silent peers and sends one heartbeat to every candidate that is wanted;
-// to all for nil, when there is news that must not wait.
+// beat drops silent peers and sends one heartbeat to every candidate that is wanted.
 func (m *membership) beat(ctx context.Context, wanted func(netip.AddrPort) bool) {
-	var candidates []netip.AddrPort
 	changed := false
 	m.with(func(v *member.View) {
-		changed = v.Tick(m.clock.Now())
-		candidates = v.Candidates()
-		m.pace.Keep(candidates)
-		if wanted != nil {
-			candidates = slices.DeleteFunc(candidates, func(a netip.AddrPort) bool { return !wanted(a) })
+		now := m.clock.Now()
+		if late := now - m.lastBeat - m.interval; m.lastBeat != 0 && late > pauseLimit {
+			v.Paused(late)
 		}
+		m.lastBeat = now
+		changed = v.Tick(now)
 	})
 	if changed {
 		m.log.WithField("event", "peer_changed").Warn("a peer went silent")
 		m.onChange()
 	}
+	m.send(ctx, wanted)
+}
+
+// send sends one heartbeat to every candidate that is wanted; to all for nil, when
+// there is news that must not wait. The returned group ends when each has answered or
+// did not in time.
+func (m *membership) send(ctx context.Context, wanted func(netip.AddrPort) bool) *sync.WaitGroup {
+	var candidates []netip.AddrPort
+	m.with(func(v *member.View) {
+		candidates = v.Candidates()
+		m.pace.Keep(candidates)
+		if wanted != nil {
+			candidates = slices.DeleteFunc(candidates, func(a netip.AddrPort) bool { return !wanted(a) })
+		}
+	})
+	var sent sync.WaitGroup
 	if len(candidates) == 0 {
-		return
+		return &sent
 	}
 	h := m.heartbeat()
 	for _, a := range candidates {
-		go m.send(ctx, a, h)
+		sent.Go(func() { m.exchange(ctx, a, h) })
+	}
+	return &sent
+}
+
+// announce sends a heartbeat to every candidate and waits for their answers, so that
+// those that can be reached know what it tells.
+func (m *membership) announce(ctx context.Context) { m.send(ctx, nil).Wait() }
+
+// handBack tells the peers that this entry's slots are theirs.
+func (m *membership) handBack(ctx context.Context) {
+	m.with(func(*member.View) { m.handedBack = true })
+	m.announce(ctx)
+}
+
+// stoppedGracefully tells the peers who keeps the answers of this process.
+func (m *membership) stoppedGracefully(ctx context.Context, successor member.Process) {
+	m.with(func(v *member.View) { v.SetSuccessor(m.clock.Now(), m.self, successor, m.settle()) })
+	m.announce(ctx)
+}
+
+// successorCandidates returns the live peers to whom answers can be handed over, those
+// of the own failure domain first: a partition is less likely to cut them off.
+func (m *membership) successorCandidates() []member.Process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far []member.Process
+	for _, p := range m.view.Live("") {
+		process := member.Process{Address: p.Address, Incarnation: p.Incarnation}
+		switch {
+		case p.Stopping:
+		case p.Domain == m.domain:
+			near = append(near, process)
+		default:
+			far = append(far, process)
+		}
 	}
+	return append(near, far...)
+}
+
+// fate tells what is certain about the owner of an identifier.
+func (m *membership) fate(owner member.Process, minted time.Duration) member.Fate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Fate(m.clock.Now(), owner, minted)
 }
 
-// send sends a heartbeat and takes in the one that answers it.
-func (m *membership) send(ctx context.Context, to netip.AddrPort, h *schema.Heartbeat) {
+// exchange sends a heartbeat and takes in the one that answers it.
+func (m *membership) exchange(ctx context.Context, to netip.AddrPort, h *schema.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, 2*m.interval)
 	defer cancel()
 	m.metrics.message("heartbeat")
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -8,11 +8,12 @@
 
 // peers answers the requests of other entries.
 type peers struct {
-	router  *router
-	members *membership
-	syncer  *syncer
-	loans   *loans
-	status  func() *schema.StatusReply
+	router   *router
+	members  *membership
+	syncer   *syncer
+	loans    *loans
+	handover *handover
+	status   func() *schema.StatusReply
 }
 
 // ServePeer implements peer.Handler.
@@ -29,6 +30,8 @@
 		return &schema.Reply{Loan: p.loans.takeBack(b.GiveBack)}
 	case *schema.Request_State:
 		return &schema.Reply{State: p.syncer.stateFor(b.State)}
+	case *schema.Request_Handover:
+		return &schema.Reply{Handover: p.handover.take(b.Handover)}
 	case *schema.Request_Status:
 		return &schema.Reply{Status: p.status()}
 	}
@@ -49,5 +52,6 @@
 		RetryAfterMs:     r.retryAfter.Milliseconds(),
 		Body:             r.body,
 		WrongIncarnation: r.gone,
+		Successor:        r.successor,
 	}
 }
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/lavendercleat/lavendercleat/internal/clock"
@@ -33,8 +32,11 @@
 	status     int
 	retryAfter time.Duration
 	body       []byte
-	// gone is set when the asked process is not the one that the identifier names.
+	// gone is set when the asked process is not the one that the identifier names, and
+	// that one left no successor.
 	gone bool
+	// successor is set when that one did leave a successor.
+	successor *schema.Successor
 }
 
 // notRun tells whether the reply says that nothing ran.
@@ -51,6 +53,11 @@
 	members     *membership
 	client      *peer.Client
 	metrics     *Metrics
+	// predecessors are the stopped processes whose answers are kept here.
+	predecessors *submission.Predecessors
+	// settled is the time after which a new process has heard from every peer who
+	// keeps the answers of its predecessor.
+	settled time.Duration
 }
 
 // serve answers a request, here or at its owner.
@@ -67,14 +74,22 @@
 	if rec := r.submissions.table.Get(c.id); rec != nil && rec.Team == c.team {
 		return r.answer(ctx, rec, c)
 	}
-	owner = r.members.successor(owner)
-	if owner == r.members.self {
-		return r.refuse(c.id, verdict.New(verdict.MayHaveRun, verdict.IdentifierExpired, "the answer is no longer kept"))
+	if r.predecessors.Has(id.Process()) {
+		return r.inherited(id, c)
 	}
 	if c.forwarded {
-		return reply{gone: true}
+		return r.misdirected(owner, c)
 	}
-	return r.forward(ctx, owner, c)
+	return r.forward(ctx, owner, id, c)
+}
+
+// inherited answers for a stopped process that handed over no answer under this
+// identifier. Its table was complete, so within the window nothing ever started.
+func (r *router) inherited(id submission.ID, c call) reply {
+	if r.predecessors.NeverStarted(id, r.clock.Now()) {
+		return r.refuse(c.id, submission.NeverStarted())
+	}
+	return r.refuse(c.id, verdict.New(verdict.MayHaveRun, verdict.IdentifierExpired, "the identifier has expired and its answer, if there was one, is no longer kept"))
 }
 
 // own answers a request about a submission of this process.
@@ -200,36 +215,3 @@
 	}
 	return known
 }
-
-// forward hands a request to the owner. It connects only to known entries: the
-// address in an identifier is the caller's to choose.
-func (r *router) forward(ctx context.Context, owner member.Process, c call) reply {
-	if !r.members.known(owner.Address) {
-		return r.unreachable(c, owner.Address)
-	}
-	r.metrics.message("forward")
-	answer, failure := r.client.Call(ctx, owner.Address, &schema.Request{Body: &schema.Request_Forward{
-		Forward: &schema.Forward{Method: c.method, Id: c.id, Team: c.team, Body: c.body},
-	}})
-	if failure != nil {
-		return r.unreachable(c, owner.Address)
-	}
-	f := answer.GetForward()
-	if f.GetWrongIncarnation() {
-		// Another process answers at the owner's address, so the owner is dead and its
-		// right to start tasks with it. What it had started is unknown.
-		return r.refuse(c.id, verdict.New(verdict.MayHaveRun, verdict.OwnerGone, "the entry that ran this submission is gone; it may have run"))
-	}
-	return reply{
-		status:     int(f.GetStatus()),
-		retryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
-		body:       f.GetBody(),
-	}
-}
-
-// unreachable is not final: an owner that is cut off may still hold the answer.
-func (r *router) unreachable(c call, _ netip.AddrPort) reply {
-	r.metrics.refused(verdict.OwnerUnreachable)
-	return pending(c.id, http.StatusServiceUnavailable, verdict.OwnerUnreachable,
-		"the entry that owns this submission can't be reached now; ask again")
-}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -39,13 +39,15 @@
 
 // servers are the entry's listening sockets.
 type servers struct {
-	cred     peer.Credentials
-	limits   httpLimits
-	peer     *peer.Server
-	http     []*http.Server
-	caller   netip.AddrPort
-	operator netip.AddrPort
-	metrics  netip.AddrPort
+	cred   peer.Credentials
+	limits httpLimits
+	peer   *peer.Server
+	http   []*http.Server
+	// callerHTTP serves the caller interface.
+	callerHTTP *http.Server
+	caller     netip.AddrPort
+	operator   netip.AddrPort
+	metrics    netip.AddrPort
 }
 
 // Start opens the sockets and starts the background work.
@@ -75,9 +77,10 @@
 
 func (e *Entry) listenHTTP() error {
 	var err error
-	if e.servers.caller, err = e.serveHTTP(e.settings.CallerAddress, e.callers.handler()); err != nil {
+	if e.servers.caller, err = e.serveHTTP(e.settings.CallerAddress, e.leadAway(e.callers.handler())); err != nil {
 		return errors.Wrap(err, "--caller-address")
 	}
+	e.servers.callerHTTP = e.servers.http[0]
 	if e.servers.operator, err = e.serveHTTP(e.settings.OperatorAddress, e.operators()); err != nil {
 		return errors.Wrap(err, "--operator-address")
 	}
@@ -100,6 +103,7 @@
 		WriteTimeout:      limits.write,
 		IdleTimeout:       limits.idle,
 		MaxHeaderBytes:    limits.headerBytes,
+		BaseContext:       func(net.Listener) context.Context { return e.requests },
 	}
 	e.servers.http = append(e.servers.http, s)
 	go s.Serve(l)
@@ -149,23 +153,6 @@
 // PeerListen returns the address on which the entry listens for peers.
 func (e *Entry) PeerListen() netip.AddrPort { return e.servers.peer.Address() }
 
-// Stop stops the entry gracefully: readiness goes off first, requests are still
-// served while the balancer takes notice, then jobs in flight are finished.
-func (e *Entry) Stop(ctx context.Context) error {
-	e.stopping.Store(true)
-	e.log.WithField("event", "stopping").Info("planned stop")
-	wait(ctx, e.settings.StopDelay)
-	ctx, cancel := context.WithTimeout(ctx, e.settings.StopTimeout)
-	defer cancel()
-	var err error
-	for _, s := range e.servers.http {
-		err = errors.CombineErrors(err, s.Shutdown(ctx))
-	}
-	err = errors.CombineErrors(err, e.close())
-	e.log.WithField("event", "stopped").Info("entry stopped")
-	return err
-}
-
 // Abort breaks everything off at once, as when the process dies: callers get no
 // answer and nothing is handed over. It is meant for experiments.
 func (e *Entry) Abort() error {
@@ -173,20 +160,12 @@
 	return e.close()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // close breaks off everything.
 func (e *Entry) close() error {
 	if e.cancel != nil {
 		e.cancel()
 	}
+	e.cancelRequests()
 	var err error
 	for _, s := range e.servers.http {
 		err = errors.CombineErrors(err, s.Close())
--- /dev/null
+++ b/internal/entry/stop.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+const (
+	// stopPoll is how often a stopping entry looks whether its work is done.
+	stopPoll = 10 * time.Millisecond
+	// finishTimeout bounds each step that is left to do once the stop has timed out:
+	// handing over, and telling waiting callers.
+	finishTimeout = 3 * time.Second
+	// flushTime is left to send the last replies' bytes.
+	flushTime = 500 * time.Millisecond
+)
+
+// Stop stops the entry gracefully, in this order:
+//
+//  1. Readiness goes off. Requests that still arrive within the stop delay are served:
+//     the balancer has not noticed yet.
+//  2. No job is started any more, under any identifier; those in flight are finished.
+//     As soon as none of their tasks waits for a slot, the peers get the slots.
+//  3. The ended answers go to a successor, and the peers are told who that is.
+//  4. What is still being answered to callers and peers is finished.
+//
+// After the stop timeout, jobs that still run end with a failure, which their callers
+// are told before the process ends.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.log.WithField("event", "stopping").Info("planned stop")
+	sleep(ctx, e.settings.StopDelay)
+	e.sealed.Store(true)
+	e.router.submissions.table.Seal()
+	patience, cancel := context.WithTimeout(ctx, e.settings.StopTimeout)
+	defer cancel()
+	e.finishJobs(ctx, patience)
+	e.handOver(ctx, patience)
+	err := e.leave(ctx)
+	e.log.WithField("event", "stopped").Info("entry stopped")
+	return err
+}
+
+// finishJobs waits for the jobs in flight, and ends them when the stop times out.
+func (e *Entry) finishJobs(ctx, patience context.Context) {
+	d := e.router.submissions.dispatcher
+	// The slots are kept while tasks wait for them: given back at once, the jobs in
+	// flight could not be finished.
+	pollUntil(patience, func() bool { return d.load().Waiting == 0 })
+	e.members.handBack(ctx)
+	if pollUntil(patience, func() bool { return e.router.submissions.table.Running() == 0 }) {
+		return
+	}
+	e.log.WithFields(logrus.Fields{"event": "stop_timeout", "jobs": e.router.submissions.table.Running()}).Warn("jobs in flight are broken off")
+	d.stop()
+}
+
+// handOver hands the answers over. A lone entry serves them until the stop times out;
+// with a successor this takes milliseconds.
+func (e *Entry) handOver(ctx, patience context.Context) {
+	for first := true; ; first = false {
+		attempt, cancel := context.WithTimeout(ctx, finishTimeout)
+		done := e.handover.give(attempt)
+		cancel()
+		if done {
+			return
+		}
+		if first {
+			e.log.WithFields(logrus.Fields{"event": "no_successor", "answers": e.router.submissions.table.Len()}).
+				Warn("no entry takes the answers; they are served here until the stop times out")
+		}
+		if !sleep(patience, handoverRetry) {
+			e.log.WithFields(logrus.Fields{"event": "answers_lost", "answers": e.router.submissions.table.Len()}).
+				Warn("no entry took the answers; they end with this process")
+			return
+		}
+	}
+}
+
+// leave finishes what is being answered and closes everything.
+func (e *Entry) leave(ctx context.Context) error {
+	finish, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	e.finishRequests(finish)
+	err := e.servers.peer.Shutdown(finish)
+	return errors.CombineErrors(err, e.close())
+}
+
+// finishRequests takes no further callers' requests and waits for those in progress.
+func (e *Entry) finishRequests(ctx context.Context) {
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		// net/http also waits for connections that never carried a request, so its end
+		// alone would hold up the stop for seconds.
+		_ = e.servers.callerHTTP.Shutdown(ctx) // it fails only by the context's end
+	}()
+	if !pollUntil(ctx, func() bool { return e.inFlight.Load() == 0 }) {
+		// What still waits is owned by other entries; its callers are told to ask again.
+		e.log.WithFields(logrus.Fields{"event": "requests_sent_away", "requests": e.inFlight.Load()}).Warn("callers are told to ask another entry")
+		e.cancelRequests()
+	}
+	select {
+	case <-flushed:
+	case <-time.After(flushTime):
+	}
+}
+
+// pollUntil waits for a condition and returns false when the context ends first.
+func pollUntil(ctx context.Context, done func() bool) bool {
+	for !done() {
+		if !sleep(ctx, stopPoll) {
+			return done()
+		}
+	}
+	return true
+}
+
+// leadAway makes callers that keep connections open come back by a new one, which the
+// balancer leads to another entry, once this one is stopping. Closing the connections
+// instead would cut off the requests just being sent on them.
+func (e *Entry) leadAway(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		e.inFlight.Add(1)
+		defer e.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// refusesNew says why callers' new work is refused, nil when it is not. An entry that
+// is not ready because it stops still serves during the stop delay.
+func (e *Entry) refusesNew() *verdict.Failure {
+	if e.sealed.Load() {
+		return verdict.New(verdict.NotRun, verdict.Stopping, "this entry is stopping; ask another").After(time.Second)
+	}
+	return e.unable()
+}
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -39,7 +39,7 @@
 		if err != nil && ctx.Err() == nil {
 			s.failed(what, err)
 		}
-		wait(ctx, p.after(news, err == nil && time.Since(begin) >= s.watchWait/2))
+		sleep(ctx, p.after(news, err == nil && time.Since(begin) >= s.watchWait/2))
 	}
 }
 
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -6,6 +6,8 @@
 
 	"github.com/lavendercleat/lavendercleat/config"
 	"github.com/lavendercleat/lavendercleat/internal/backend"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
+	"github.com/lavendercleat/lavendercleat/member"
 	"github.com/lavendercleat/lavendercleat/sched"
 	"github.com/lavendercleat/lavendercleat/schema"
 	"github.com/lavendercleat/lavendercleat/slot"
@@ -14,31 +16,36 @@
 // workers derives the scheduler's list of workers from the VM list, the
 // configuration and the members.
 type workers struct {
+	clock      *clock.Clock
 	state      *state
 	members    *membership
 	dispatcher *dispatcher
 	client     *backend.Client
 	domain     string
 
-	mu sync.Mutex
-	// leaving holds the workers that said that they are leaving; the VM list may
-	// still show them for a while.
-	leaving map[string]bool
+	// updating keeps an older list from being put in place after a newer one: a worker
+	// just marked as leaving would get work again.
+	updating sync.Mutex
+
+	mu      sync.Mutex
+	leaving *member.Leaving
 }
 
 // update recomputes the list.
 func (w *workers) update() {
+	w.updating.Lock()
+	defer w.updating.Unlock()
 	index := w.state.config()
-	vms := w.state.vmList().GetVms()
-	list := make([]sched.Worker, 0, len(vms))
-	keep := make(map[string]bool, len(vms))
-	for _, vm := range vms {
+	vms := w.state.vmList()
+	w.takeList(vms)
+	list := make([]sched.Worker, 0, len(vms.GetVms()))
+	keep := make(map[string]bool, len(vms.GetVms()))
+	for _, vm := range vms.GetVms() {
 		if vm.GetRole() == schema.VmRole_VM_ROLE_WORKER {
 			keep[vm.GetAddress()] = true
 			list = append(list, w.worker(vm, index))
 		}
 	}
-	w.prune(keep)
 	w.client.Forget(keep)
 	w.dispatcher.step(func(now time.Duration) { w.dispatcher.sched.SetWorkers(now, list) })
 }
@@ -62,41 +69,47 @@
 	return sched.Resources{CPUs: r.GetCpus(), MemoryMB: r.GetMemoryMb(), Accelerators: r.GetAccelerators()}
 }
 
-// prune forgets the leaving workers that are no longer listed.
-func (w *workers) prune(keep map[string]bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for a := range w.leaving {
-		if !keep[a] {
-			delete(w.leaving, a)
+// takeList lets the VM list end notices of leaving workers.
+func (w *workers) takeList(l *schema.VmList) {
+	listed := make(map[string]bool, len(l.GetVms()))
+	for _, vm := range l.GetVms() {
+		if vm.GetRole() == schema.VmRole_VM_ROLE_WORKER {
+			listed[vm.GetAddress()] = vm.GetLeaving()
 		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving.List(w.clock.Now(), l.GetVersion(), listed)
 }
 
 func (w *workers) isLeaving(address string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.leaving[address]
+	return w.leaving.Has(address)
 }
 
 // leavingList returns the workers that said that they are leaving.
-func (w *workers) leavingList() []string {
+func (w *workers) leavingList() []*schema.LeavingWorker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var list []string
-	for a := range w.leaving {
-		list = append(list, a)
-	}
+	var list []*schema.LeavingWorker
+	w.leaving.All(w.clock.Now(), func(worker string, age time.Duration) {
+		list = append(list, &schema.LeavingWorker{Address: worker, AgeMs: age.Milliseconds()})
+	})
 	return list
 }
 
-// markLeaving notes workers that said, to this entry or a peer, that they are leaving.
-func (w *workers) markLeaving(addresses ...string) {
+// markLeaving notes a worker that said to this entry that it is leaving.
+func (w *workers) markLeaving(worker string) {
+	w.takeLeaving([]*schema.LeavingWorker{{Address: worker}})
+}
+
+// takeLeaving notes workers that said that they are leaving.
+func (w *workers) takeLeaving(list []*schema.LeavingWorker) {
 	w.mu.Lock()
 	news := false
-	for _, a := range addresses {
-		if !w.leaving[a] {
-			w.leaving[a] = true
+	for _, l := range list {
+		if w.leaving.Notice(w.clock.Now(), l.GetAddress(), time.Duration(l.GetAgeMs())*time.Millisecond) {
 			news = true
 		}
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
@@ -28,6 +29,7 @@
 type link struct {
 	mu   sync.Mutex
 	conn *quic.Conn
+	made time.Time
 }
 
 // NewClient returns a client without connections, which it will make from the local
@@ -61,6 +63,7 @@
 		return nil, err
 	}
 	l.conn = conn
+	l.made = time.Now()
 	return conn, nil
 }
 
@@ -124,6 +127,20 @@
 	return reply, nil
 }
 
+// Restarted closes the connection to a peer whose process is of the given age if the
+// connection is older: it leads to a process that is gone, and calls on it would wait
+// until it counts as silent.
+func (c *Client) Restarted(to netip.AddrPort, age time.Duration) {
+	l := c.link(to)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && time.Since(l.made) > age {
+		conn := l.conn
+		l.conn = nil
+		go conn.CloseWithError(0, "the peer restarted")
+	}
+}
+
 // Forget closes the connections to peers that are not in keep.
 func (c *Client) Forget(keep map[netip.AddrPort]bool) {
 	c.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
@@ -26,6 +27,10 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	meter    meter
+	close    func() error
+
+	mu    sync.Mutex
+	conns map[*quic.Conn]struct{}
 }
 
 // Listen starts a server at an address.
@@ -38,8 +43,9 @@
 	if err != nil {
 		return nil, errors.CombineErrors(errors.Wrap(err, "listening for peers"), conn.Close())
 	}
-	s := &Server{listener: l, conn: conn, handler: h}
+	s := &Server{listener: l, conn: conn, handler: h, conns: make(map[*quic.Conn]struct{})}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.close = sync.OnceValue(s.closeAll)
 	s.wg.Go(s.accept)
 	return s, nil
 }
@@ -49,14 +55,60 @@
 	return s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
+// linger is the time for which connections stay open after the last reply was written:
+// closing one drops what has not arrived, and quic-go does not tell when it has.
+const linger = 200 * time.Millisecond
+
+// Shutdown takes no further requests, waits until those in progress are answered or
+// the context ends, and closes the server. Without it a caller whose request another
+// entry forwarded here would lose the answer that was just about to be sent.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.cancel()
+	answered := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+		time.Sleep(linger)
+	case <-ctx.Done():
+	}
+	return s.Close()
+}
+
 // Close breaks off all connections and waits for the handlers.
 func (s *Server) Close() error {
 	s.cancel()
-	err := errors.CombineErrors(s.listener.Close(), s.conn.Close())
+	err := s.close()
 	s.wg.Wait()
 	return err
 }
 
+// closeAll closes every connection and the socket. Without the first, peers would take
+// the connections for open until they count as silent, and send requests into them that
+// another process at this address can't answer.
+func (s *Server) closeAll() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.CloseWithError(0, "entry stopped")
+	}
+	return errors.CombineErrors(s.listener.Close(), s.conn.Close())
+}
+
+// track keeps a connection in the set until it ends.
+func (s *Server) track(c *quic.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	context.AfterFunc(c.Context(), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
+	})
+}
+
 func (s *Server) accept() {
 	for {
 		c, err := s.listener.Accept(s.ctx)
@@ -64,6 +116,7 @@
 			return
 		}
 		s.meter.follow(c)
+		s.track(c)
 		s.wg.Go(func() { s.serve(c) })
 	}
 }
--- /dev/null
+++ b/member/fate.go
@@ -0,0 +1,90 @@
+package member
+
+import "time"
+
+// Fate says what is certain about a process that can't be asked.
+type Fate uint8
+
+const (
+	// Unknown: it may live, and may still tell an ending.
+	Unknown Fate = iota
+	// Replaced: another process runs at its address, so it is dead.
+	Replaced
+	// Settled: by its own clock it no longer starts the job of the identifier asked
+	// about, nor tells an answer of it.
+	Settled
+)
+
+const (
+	// maxSightings bounds the memory of processes that were heard once.
+	maxSightings = 4096
+	// clockDrift is the part by which two monotonic clocks may differ in rate; real
+	// ones differ by less than a thousandth of that.
+	clockDrift = 100
+	// clockMargin is added for delays between a clock's reading and its use.
+	clockMargin = 5 * time.Second
+)
+
+// sighting is what was last heard of a process.
+type sighting struct {
+	heard  time.Duration
+	clock  time.Duration
+	settle time.Duration
+	// replaced is the time at which another process was heard at the address; 0 until
+	// then.
+	replaced time.Duration
+}
+
+// sight notes a heartbeat's clock, and that the address's former process is replaced.
+func (v *View) sight(now time.Duration, p *Peer) {
+	process := Process{Address: p.Address, Incarnation: p.Incarnation}
+	s, known := v.past[process]
+	if !known || s.replaced != 0 {
+		v.replace(now, process)
+	}
+	if !known {
+		v.seen = append(v.seen, process)
+		if len(v.seen) > maxSightings {
+			delete(v.past, v.seen[0])
+			v.seen = v.seen[1:]
+		}
+	}
+	// It lives, also when a late heartbeat of a former process made it look replaced.
+	s.heard, s.clock, s.replaced = now, p.Clock, 0
+	// A longer deadline that was allowed before is still to be waited for.
+	s.settle = max(s.settle, p.Settle)
+	v.past[process] = s
+}
+
+// replace marks the former processes at the address of a new one.
+func (v *View) replace(now time.Duration, by Process) {
+	for p, s := range v.past {
+		if p.Address == by.Address && p != by && s.replaced == 0 {
+			s.replaced = max(now, 1)
+			v.past[p] = s
+		}
+	}
+}
+
+// Fate tells what is certain about the owner of an identifier minted at a time on the
+// owner's clock.
+//
+// Replaced is told only a Timeout after the new process was heard: if the old one
+// stopped gracefully, every live peer that knows its successor has said so by then.
+// Settled assumes only that the two monotonic clocks run at the same rate within one
+// part in a hundred.
+func (v *View) Fate(now time.Duration, owner Process, minted time.Duration) Fate {
+	s, ok := v.past[owner]
+	if !ok {
+		return Unknown
+	}
+	if s.replaced != 0 && now > s.replaced+v.config.Timeout {
+		return Replaced
+	}
+	passed := now - s.heard
+	atLeast := s.clock + passed - passed/clockDrift - clockMargin
+	if s.settle > 0 && atLeast > minted+s.settle {
+		return Settled
+	}
+	return Unknown
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,86 @@
+package member
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const worker = "10.0.0.9:80"
+
+func TestNoticeOfLeavingWorkerEnds(t *testing.T) {
+	steps := []struct {
+		name  string
+		lists []map[string]bool
+		at    []time.Duration
+		has   bool
+	}{
+		{"the list lags", []map[string]bool{{worker: false}}, []time.Duration{30 * time.Second}, true},
+		{"the list confirms", []map[string]bool{{worker: false}, {worker: true}}, []time.Duration{0, time.Second}, true},
+		{"gone", []map[string]bool{{worker: true}, {}}, []time.Duration{0, time.Second}, false},
+		{"replaced at the same address", []map[string]bool{{worker: true}, {worker: false}}, []time.Duration{0, time.Second}, false},
+		{"never confirmed", []map[string]bool{{worker: false}, {worker: false}}, []time.Duration{0, noticeTerm + time.Second}, false},
+	}
+	for _, s := range steps {
+		l := NewLeaving()
+		assert.Assert(t, l.Notice(0, worker, 0), s.name)
+		for i, list := range s.lists {
+			l.List(s.at[i], uint64(i+1), list)
+			l.List(s.at[i], uint64(i+1), map[string]bool{}) // an old version changes nothing
+		}
+		assert.Equal(t, l.Has(worker), s.has, s.name)
+		assert.Assert(t, !l.Notice(time.Second, worker, time.Second), "%s: an old notice is no news", s.name)
+	}
+}
+
+var (
+	self  = netip.MustParseAddrPort("10.0.0.1:1")
+	other = netip.MustParseAddrPort("10.0.0.2:1")
+)
+
+func view() *View {
+	return NewView(Config{Self: self, Incarnation: 1, Domain: "a", Timeout: 2 * time.Second})
+}
+
+func peerAt(incarnation uint64, clock time.Duration) Peer {
+	return Peer{Address: other, Incarnation: incarnation, Domain: "a", Clock: clock, Settle: time.Minute}
+}
+
+// The fate of an owner is final only when it is replaced for a timeout, or its own
+// clock is certainly past the time at which it could tell an ending.
+func TestFate(t *testing.T) {
+	v := view()
+	owner := Process{Address: other, Incarnation: 7}
+	assert.Equal(t, v.Fate(0, owner, 0), Unknown)
+	v.Heard(0, peerAt(7, 10*time.Second))
+	assert.Equal(t, v.Fate(time.Minute, owner, 15*time.Second), Unknown)
+	assert.Equal(t, v.Fate(75*time.Second, owner, 15*time.Second), Settled)
+	v.Heard(2*time.Second, peerAt(8, 0))
+	assert.Equal(t, v.Fate(3*time.Second, owner, 15*time.Second), Unknown)
+	assert.Equal(t, v.Fate(5*time.Second, owner, 15*time.Second), Replaced)
+	v.Heard(5*time.Second, peerAt(7, 15*time.Second)) // a late heartbeat made it look replaced
+	assert.Equal(t, v.Fate(9*time.Second, owner, 15*time.Second), Unknown)
+}
+
+// After an own pause the peers count as silent only for the time this entry ran.
+func TestOwnPauseIsNotThePeersSilence(t *testing.T) {
+	v := view()
+	v.Heard(0, peerAt(7, 0))
+	v.Paused(30 * time.Second)
+	assert.Assert(t, !v.Tick(31*time.Second))
+	assert.Assert(t, v.Tick(33*time.Second))
+}
+
+// What is known of successors runs out, and hearing it again doesn't prolong it.
+func TestSuccessorIsKnownForItsTime(t *testing.T) {
+	v := view()
+	stopped, next, last := Process{other, 7}, Process{self, 1}, Process{other, 9}
+	v.SetSuccessor(0, stopped, next, time.Minute)
+	v.SetSuccessor(0, next, last, time.Minute)
+	v.SetSuccessor(30*time.Second, stopped, next, time.Minute)
+	assert.Equal(t, v.Successor(stopped), last)
+	v.Tick(time.Minute)
+	assert.Equal(t, v.Successor(stopped), stopped)
+}
--- a/member/view.go
+++ b/member/view.go
@@ -28,8 +28,13 @@
 	Domain      string
 	// Heard is the time of the latest heartbeat.
 	Heard time.Duration
-	// Stopping is set once the peer said that it takes no new work.
+	// Stopping is set once the peer handed back its slots.
 	Stopping bool
+	// Clock is the peer's own time at its latest heartbeat, on which it mints
+	// identifiers, and Settle the time after an identifier's minting after which it
+	// neither starts its job nor tells an answer of it.
+	Clock  time.Duration
+	Settle time.Duration
 	// FreeSlots is how many slots the peer could lend at its latest heartbeat.
 	FreeSlots int
 	// ConfigRevision and VMListVersion are those in force at the peer.
@@ -48,20 +53,20 @@
 	config     Config
 	peers      map[netip.AddrPort]*Peer
 	candidates map[netip.AddrPort]string
-	successors map[Process]Process
-	order      []Process
+	successors map[Process]succession
+	past       map[Process]sighting
+	// seen holds the keys of past, oldest first.
+	seen []Process
 }
 
-// maxSuccessors bounds the memory of stopped processes; the oldest are forgotten.
-const maxSuccessors = 512
-
 // NewView returns a view without peers.
 func NewView(c Config) *View {
 	return &View{
 		config:     c,
 		peers:      make(map[netip.AddrPort]*Peer),
 		candidates: make(map[netip.AddrPort]string),
-		successors: make(map[Process]Process),
+		successors: make(map[Process]succession),
+		past:       make(map[Process]sighting),
 	}
 }
 
@@ -118,11 +123,22 @@
 	changed = old == nil || !v.live(old, now) || old.Incarnation != p.Incarnation || old.Stopping != p.Stopping
 	p.Heard = now
 	v.peers[p.Address] = &p
+	v.sight(now, &p)
 	return changed
 }
 
+// Paused tells that this entry itself stood still for a time: the silence of its
+// peers meanwhile is not theirs. Without this an entry that wakes would count all of
+// them as dead and take all slots for its own.
+func (v *View) Paused(d time.Duration) {
+	for _, p := range v.peers {
+		p.Heard += d
+	}
+}
+
 // Tick drops peers that have been silent too long and tells whether any was.
 func (v *View) Tick(now time.Duration) (changed bool) {
+	v.dropSuccessors(now)
 	for a, p := range v.peers {
 		if !v.live(p, now) {
 			delete(v.peers, a)
@@ -155,12 +171,11 @@
 }
 
 // Members returns the addresses among which the slots of this failure domain are
-// divided: this entry and its live peers that are not stopping, sorted.
-func (v *View) Members(selfStopping bool) []netip.AddrPort {
-	var members []netip.AddrPort
-	if !selfStopping {
-		members = append(members, v.config.Self)
-	}
+// divided: this entry and its live peers that are not stopping, sorted. An entry that
+// is stopping itself goes on counting its share as before, for retries of the tasks it
+// still runs, while its peers have divided the slots anew.
+func (v *View) Members() []netip.AddrPort {
+	members := []netip.AddrPort{v.config.Self}
 	for _, p := range v.Live(v.config.Domain) {
 		if !p.Stopping {
 			members = append(members, p.Address)
@@ -169,35 +184,3 @@
 	slices.SortFunc(members, netip.AddrPort.Compare)
 	return members
 }
-
-// SetSuccessor records who keeps the answers of a stopped process.
-func (v *View) SetSuccessor(stopped, successor Process) {
-	if _, ok := v.successors[stopped]; !ok {
-		v.order = append(v.order, stopped)
-	}
-	v.successors[stopped] = successor
-	if len(v.order) > maxSuccessors {
-		delete(v.successors, v.order[0])
-		v.order = v.order[1:]
-	}
-}
-
-// Successor returns the process that keeps the answers of p now, following
-// successors that stopped in turn; p itself when it did not stop.
-func (v *View) Successor(p Process) Process {
-	for range maxSuccessors {
-		next, ok := v.successors[p]
-		if !ok {
-			break
-		}
-		p = next
-	}
-	return p
-}
-
-// Successors calls fn for each stopped process and its successor.
-func (v *View) Successors(fn func(stopped, successor Process)) {
-	for _, p := range v.order {
-		fn(p, v.successors[p])
-	}
-}
--- a/sched/lend.go
+++ b/sched/lend.go
@@ -25,7 +25,7 @@
 	s.fire(now)
 	s.expireLent(now)
 	var answer Loan
-	if s.config.Policy != Shares {
+	if s.config.Policy != Shares || s.held {
 		return answer
 	}
 	starved := s.starved()
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -36,6 +36,8 @@
 	lent   *slot.Ledger
 	timers timers
 	ready  Ready
+	// held keeps tasks from being started; see Hold.
+	held bool
 }
 
 // New returns a scheduler without workers.
@@ -80,6 +82,9 @@
 
 // schedule starts waiting tasks on free slots and asks peers for more.
 func (s *Scheduler) schedule(now time.Duration) {
+	if s.held {
+		return
+	}
 	s.pass++
 	for s.waiting > 0 && s.anyFree() {
 		q := s.next(s.pass)
--- /dev/null
+++ b/sched/stop.go
@@ -0,0 +1,25 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// Hold keeps tasks from being started until Release; jobs are still admitted. Use it
+// while the list of workers may be badly out of date, for instance after a pause of
+// the process: its slots may have been given to others.
+func (s *Scheduler) Hold() { s.held = true }
+
+// Release ends Hold and starts what can start.
+func (s *Scheduler) Release(now time.Duration) {
+	s.held = false
+	s.schedule(now)
+}
+
+// Stop ends every job with reason Stopping, for an embedder that must end now.
+func (s *Scheduler) Stop() {
+	for _, j := range s.jobs {
+		s.fail(j, verdict.New(j.verdict(), verdict.Stopping, "the entry stopped before the job was done").After(time.Second))
+	}
+}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -41,7 +41,8 @@
 }
 
 // SetWorkers replaces the list of workers and this entry's shares. Tasks running on
-// a worker that is no longer listed go on.
+// a worker that is no longer listed go on. Pass workers that are still leaving as
+// Drained: the mark that SetLeaving or an outcome made ends here.
 func (s *Scheduler) SetWorkers(now time.Duration, list []Worker) {
 	old := s.workers
 	s.workers = make(map[string]*worker, len(list))
@@ -53,6 +54,7 @@
 		}
 		delete(old, w.Address)
 		n.Worker = w
+		n.leaving = false
 		n.own.slots = w.Slots
 		s.workers[w.Address] = n
 		s.list = append(s.list, n)
--- a/submission/table.go
+++ b/submission/table.go
@@ -74,15 +74,18 @@
 
 // Table holds the records of submissions in shards. It is safe for concurrent use.
 type Table struct {
-	config TableConfig
-	bytes  atomic.Int64
-	count  atomic.Int64
-	shards [shardCount]tableShard
+	config  TableConfig
+	bytes   atomic.Int64
+	count   atomic.Int64
+	running atomic.Int64
+	shards  [shardCount]tableShard
 }
 
 type tableShard struct {
 	mu      sync.Mutex
 	records map[string]*Record
+	// sealed shards make no record any more.
+	sealed bool
 }
 
 // NewTable returns an empty table.
@@ -103,9 +106,9 @@
 // record whose request was refused gives way to another body.
 //
 // Errors: IdentifierReused (NotRun) for another body under the identifier,
-// IdentifierExpired (MayHaveRun) when the window is over and there is no record, and
+// IdentifierExpired (MayHaveRun) when the window is over and there is no record,
 // AnswersFull (MayHaveRun) at the bound of kept answers: nothing is recorded, so a
-// late copy of the request may still be accepted.
+// late copy of the request may still be accepted; and Stopping (NotRun) after Seal.
 func (t *Table) Begin(id ID, team string, digest Digest, now time.Duration) (r *Record, first bool, err *verdict.Failure) {
 	text := id.String()
 	s := t.shard(text)
@@ -154,6 +157,9 @@
 		return nil, false, verdict.New(verdict.MayHaveRun, verdict.IdentifierExpired,
 			"the identifier's %s are over; this request started nothing, but an earlier one may have; if there was none, reserve a new identifier", t.config.Window)
 	}
+	if s.sealed {
+		return nil, false, NeverStarted()
+	}
 	if t.bytes.Load() >= t.config.MaxBytes {
 		return nil, false, verdict.New(verdict.MayHaveRun, verdict.AnswersFull,
 			"no room to keep another answer; nothing was started; ask again later").After(t.config.Retention / 8)
@@ -161,6 +167,7 @@
 	r := &Record{ID: id.String(), Team: team, Digest: digest, minted: id.Minted, done: make(chan struct{})}
 	s.records[r.ID] = r
 	t.count.Add(1)
+	t.running.Add(1)
 	return r, true, nil
 }
 
@@ -183,10 +190,29 @@
 	r.ending = e
 	r.keepUntil = max(now+t.config.Retention, r.minted+t.config.Window)
 	t.bytes.Add(int64(len(e.Body)))
+	t.running.Add(-1)
 	close(r.done)
 	return true
 }
 
+// Seal ends the making of records: once it returns, an identifier within its window
+// that has no record will never start anything, whoever asks.
+func (t *Table) Seal() {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		s.sealed = true
+		s.mu.Unlock()
+	}
+}
+
+// NeverStarted is the answer to a request under an identifier of a process that
+// stopped before it was used.
+func NeverStarted() *verdict.Failure {
+	return verdict.New(verdict.NotRun, verdict.Stopping,
+		"the entry that issued this identifier has stopped and started nothing under it; reserve a new one")
+}
+
 // Adopt keeps the ended record of a process that stopped; an existing one wins.
 func (t *Table) Adopt(id, team string, digest Digest, e Ending, keep, now time.Duration) {
 	s := t.shard(id)
@@ -241,6 +267,12 @@
 	}
 }
 
+// Running returns the number of records that have not ended.
+func (t *Table) Running() int { return int(t.running.Load()) }
+
+// MaxBytes returns the bound of kept answers.
+func (t *Table) MaxBytes() int64 { return t.config.MaxBytes }
+
 // Len returns the number of records.
 func (t *Table) Len() int { return int(t.count.Load()) }
 
--- /dev/null
+++ b/test/stop/load_test.go
@@ -0,0 +1,167 @@
+package stop
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+)
+
+// balancer chooses among the entries whose readiness it saw at its latest look, as the
+// platform's balancer does.
+type balancer struct {
+	mu    sync.Mutex
+	ready []string
+}
+
+// look is how often the balancer looks at readiness.
+const look = 50 * time.Millisecond
+
+// newBalancer starts to look at the entries that list returns, until the test ends.
+func newBalancer(t testing.TB, list func() []*cluster.Entry) *balancer {
+	b := &balancer{}
+	b.refresh(list())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			time.Sleep(look)
+			b.refresh(list())
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return b
+}
+
+func (b *balancer) refresh(entries []*cluster.Entry) {
+	var ready []string
+	for _, e := range entries {
+		resp, err := http.Get(strings.TrimSuffix(e.MetricsURL, "/metrics") + "/readyz")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			ready = append(ready, e.CallerURL)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *balancer) pick() *client.Client {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &client.Client{URL: b.ready[rand.IntN(len(b.ready))], Token: cluster.Token}
+}
+
+// callers send jobs one after the other and count every request that was cut off or
+// refused.
+type callers struct {
+	ledger *cluster.Ledger
+	stop   chan struct{}
+	wg     sync.WaitGroup
+
+	mu   sync.Mutex
+	jobs map[string]schema.Job
+	cut  []string
+}
+
+func startCallers(t testing.TB, b *balancer, count int) *callers {
+	c := &callers{ledger: cluster.NewLedger(), stop: make(chan struct{}), jobs: make(map[string]schema.Job)}
+	for n := range count {
+		c.wg.Go(func() { c.run(t.Context(), b, n) })
+	}
+	return c
+}
+
+func (c *callers) run(ctx context.Context, b *balancer, n int) {
+	for i := 0; ; i++ {
+		select {
+		case <-c.stop:
+			return
+		default:
+		}
+		c.one(ctx, b, cluster.Job(cluster.Booking, fmt.Sprintf("%d/%d", n, i), 1+i%4))
+	}
+}
+
+// one reserves and sends a job, each in one request: a caller whose request is cut
+// off sees an error, or an answer that is not complete.
+func (c *callers) one(ctx context.Context, b *balancer, j schema.Job) {
+	ids, err := b.pick().Reserve(ctx, 1)
+	if err != nil {
+		c.note("reserve: %v", err)
+		return
+	}
+	c.mu.Lock()
+	c.jobs[ids[0]] = j
+	c.mu.Unlock()
+	r, err := c.ledger.Put(ctx, b.pick(), ids[0], j)
+	switch {
+	case err != nil:
+		c.note("put: %v", err)
+	case r.Outcome != client.Complete:
+		c.note("put: %d %s %s (%s): %s", r.Status, r.Outcome, r.Reason, r.Verdict, r.Message)
+	}
+}
+
+func (c *callers) note(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = append(c.cut, fmt.Sprintf(format, args...))
+}
+
+// count returns the jobs sent so far.
+func (c *callers) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.jobs)
+}
+
+// waitFor waits until a number of further jobs was sent.
+func (c *callers) waitFor(t testing.TB, more int) {
+	t.Helper()
+	goal := c.count() + more
+	cluster.Eventually(t, 30*time.Second, "further jobs are sent", func() bool { return c.count() >= goal })
+}
+
+// finish stops the callers and checks that nothing was cut off.
+func (c *callers) finish(t testing.TB) {
+	t.Helper()
+	close(c.stop)
+	c.wg.Wait()
+	for i, cut := range c.cut {
+		if i == 5 {
+			break
+		}
+		t.Errorf("cut off: %s", cut)
+	}
+	assert.Equal(t, len(c.cut), 0, "requests cut off, of %d", len(c.jobs))
+}
+
+// answersKept asks for every answer through the clients in turn.
+func (c *callers) answersKept(t testing.TB, clients ...*client.Client) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	n := 0
+	for id := range c.jobs {
+		r, err := c.ledger.Ask(ctx, func() *client.Client { return clients[n%len(clients)] }, id, c.jobs[id])
+		assert.NilError(t, err, "%s %s: %s", r.Outcome, r.Reason, r.Message)
+		assert.Equal(t, r.Outcome, client.Complete, "%s: %s", r.Reason, r.Message)
+		n++
+	}
+}
--- /dev/null
+++ b/test/stop/stop_test.go
@@ -0,0 +1,190 @@
+package stop
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// exitTimeout bounds the wait for the end of a stopping process.
+const exitTimeout = 30 * time.Second
+
+// stopDelay is several looks of the balancer.
+const stopDelay = "--stop-delay=1s"
+
+// Callers book through a balancer while one of three entries is stopped. The entry
+// turns its readiness off, serves what the balancer still sends, finishes its jobs,
+// hands its answers over and ends. No request is cut off, every answer can still be
+// had through the others, and identifiers that were reserved but not used are
+// answered "not run" for certain.
+func TestPlannedStopUnderLoadCutsOffNothing(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 3, Workers: 4, EntryFlags: []string{stopDelay}})
+	stopped, others := c.Entries[0], c.Entries[1:]
+	unused, err := stopped.Client(cluster.Token).Reserve(t.Context(), 20)
+	assert.NilError(t, err)
+	b := newBalancer(t, func() []*cluster.Entry { return c.Entries })
+	load := startCallers(t, b, 30)
+	load.waitFor(t, 300)
+	refused := c.Witness().Refused
+	stopped.Terminate()
+	assert.NilError(t, stopped.Wait(exitTimeout))
+	load.waitFor(t, 300)
+	load.finish(t)
+	t.Logf("jobs=%d refused_by_workers_around_the_stop=%d", load.count(), c.Witness().Refused-refused)
+
+	load.answersKept(t, others[0].Client(cluster.Token), others[1].Client(cluster.Token))
+	for i, id := range unused {
+		r, err := others[i%2].Client(cluster.Token).Put(t.Context(), id, cluster.Job(cluster.Booking, "late", 1))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Outcome, client.Failed)
+		assert.Equal(t, r.Verdict, verdict.NotRun.String())
+		assert.Equal(t, r.Reason, string(verdict.Stopping))
+		assert.Equal(t, r.Resubmit, "safe")
+	}
+	t.Log(load.ledger.Check(t, c.Witness()))
+}
+
+// Every entry in turn is stopped and replaced by a new process at its address, while
+// callers book. Each hands its own answers over and those it took over before; the new
+// process at an owner's address must not say that the owner's answers are gone. Nothing
+// is cut off or lost, and each answer is told the same at the end.
+func TestStoppingEveryEntryInTurnLosesNothing(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 3, Workers: 4, EntryFlags: []string{stopDelay}})
+	var mu sync.Mutex
+	running := make(map[int]cluster.Entry)
+	list := func() []*cluster.Entry {
+		mu.Lock()
+		defer mu.Unlock()
+		var all []*cluster.Entry
+		for _, e := range running {
+			all = append(all, &e)
+		}
+		return all
+	}
+	for i, e := range c.Entries {
+		running[i] = *e
+	}
+	load := startCallers(t, newBalancer(t, list), 20)
+	load.waitFor(t, 100)
+	for i, e := range c.Entries {
+		e.Terminate()
+		assert.NilError(t, e.Wait(exitTimeout))
+		mu.Lock()
+		delete(running, i)
+		mu.Unlock()
+		c.StartEntry(e)
+		c.WaitReady()
+		mu.Lock()
+		running[i] = *e
+		mu.Unlock()
+		load.waitFor(t, 100)
+	}
+	load.finish(t)
+	load.answersKept(t, c.Entries[0].Client(cluster.Token), c.Entries[1].Client(cluster.Token), c.Entries[2].Client(cluster.Token))
+	t.Log(load.ledger.Check(t, c.Witness()))
+}
+
+// slowJob returns a job of one task that runs for a time.
+func slowJob(run time.Duration) schema.Job {
+	return schema.Job{
+		Kind:       cluster.Booking,
+		DeadlineMs: 30_000,
+		Tasks:      []schema.Task{{Payload: json.RawMessage(fmt.Sprintf(`{"run_ms":%d}`, run.Milliseconds()))}},
+	}
+}
+
+// inFlight is a PUT that waits for its answer.
+type inFlight struct {
+	id    string
+	reply client.Reply
+	err   error
+	done  chan struct{}
+}
+
+// putSlow sends a slow job under an identifier of the owner through another entry, and
+// waits until it runs.
+func putSlow(t testing.TB, c *cluster.Cluster, owner, through *cluster.Entry, run time.Duration) *inFlight {
+	t.Helper()
+	ids, err := owner.Client(cluster.Token).Reserve(t.Context(), 1)
+	assert.NilError(t, err)
+	f := &inFlight{id: ids[0], done: make(chan struct{})}
+	go func() {
+		defer close(f.done)
+		f.reply, f.err = through.Client(cluster.Token).Put(t.Context(), f.id, slowJob(run))
+	}()
+	cluster.Eventually(t, 10*time.Second, "the task runs", func() bool { return c.Witness().Tasks[f.id+"/0"] == 1 })
+	return f
+}
+
+// A slow job runs when its owner is stopped; one caller waits at the owner, another at
+// an entry that forwarded the request. Both get the whole answer: the owner takes no
+// further work, but ends only after its last replies.
+func TestPlannedStopFinishesSlowJobs(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 2})
+	owner, other := c.Entries[0], c.Entries[1]
+	direct := putSlow(t, c, owner, owner, 2*time.Second)
+	forwarded := putSlow(t, c, owner, other, 2*time.Second)
+	owner.Terminate()
+	assert.NilError(t, owner.Wait(exitTimeout))
+	for _, f := range []*inFlight{direct, forwarded} {
+		<-f.done
+		assert.NilError(t, f.err)
+		assert.Equal(t, f.reply.Outcome, client.Complete, "%s: %s", f.reply.Reason, f.reply.Message)
+		again, err := other.Client(cluster.Token).Get(t.Context(), f.id)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again.Answer, f.reply.Answer)
+	}
+	assert.Equal(t, c.Witness().Doubled, int64(0))
+}
+
+// A job runs for longer than the owner may take to stop. At the stop timeout it is
+// broken off, and both callers are told before the process ends that it may have run;
+// later the successor says the same.
+func TestStopTimeoutTellsWaitingCallers(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 2, EntryFlags: []string{"--stop-timeout=1s"}})
+	owner, other := c.Entries[0], c.Entries[1]
+	direct := putSlow(t, c, owner, owner, 25*time.Second)
+	forwarded := putSlow(t, c, owner, other, 25*time.Second)
+	owner.Terminate()
+	assert.NilError(t, owner.Wait(exitTimeout))
+	for _, f := range []*inFlight{direct, forwarded} {
+		<-f.done
+		assert.NilError(t, f.err)
+		assert.Equal(t, f.reply.Outcome, client.Failed)
+		assert.Equal(t, f.reply.Verdict, verdict.MayHaveRun.String())
+		assert.Equal(t, f.reply.Reason, string(verdict.Stopping))
+		again, err := other.Client(cluster.Token).Get(t.Context(), f.id)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again.Answer, f.reply.Answer)
+	}
+}
+
+// The last entry is stopped. Nobody can take its answers, so it goes on telling them
+// until the stop times out, and its log says that they end with it.
+func TestLastEntryTellsItsAnswersUntilTheStopTimeout(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 1, Workers: 1, EntryFlags: []string{"--stop-timeout=3s"}})
+	e := c.Entries[0]
+	answer, err := e.Client(cluster.Token).Submit(t.Context(), cluster.Job(cluster.Booking, "last", 1))
+	assert.NilError(t, err)
+	e.Terminate()
+	cluster.Eventually(t, 10*time.Second, "the entry looks for a successor", func() bool {
+		return strings.Contains(e.Log(), "event=no_successor")
+	})
+	again, err := e.Client(cluster.Token).Get(t.Context(), answer.Id)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again.Answer, answer.Answer)
+	_, err = e.Client(cluster.Token).Reserve(t.Context(), 1)
+	assert.ErrorContains(t, err, "this entry is stopping")
+	assert.NilError(t, e.Wait(exitTimeout))
+	assert.Assert(t, strings.Contains(e.Log(), "event=answers_lost"))
+}
