--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -53,7 +53,9 @@
 		return nil
 	}
 	r.metrics.message("forward")
-	answer, failure := r.client.Call(ctx, to.Address, &schema.Request{Body: &schema.Request_Forward{
+	// A caller is told at once when its owner is cut off, rather than after a wait for
+	// a connection, and told when to come back.
+	answer, failure := r.client.CallReachable(ctx, to.Address, &schema.Request{Body: &schema.Request_Forward{
 		Forward: &schema.Forward{Method: c.method, Id: c.id, Team: c.team, Body: c.body},
 	}})
 	if failure != nil {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -25,13 +25,6 @@
 	meter meter
 }
 
-// link is the connection to one peer; its lock lets one call make it for all.
-type link struct {
-	mu   sync.Mutex
-	conn *quic.Conn
-	made time.Time
-}
-
 // NewClient returns a client without connections, which it will make from the local
 // address.
 func NewClient(cred Credentials, local netip.Addr) *Client {
@@ -43,32 +36,17 @@
 	defer c.mu.Unlock()
 	l := c.peers[to]
 	if l == nil {
-		l = &link{}
+		l = &link{dial: func() (*quic.Conn, error) { return c.dial(to) }}
 		c.peers[to] = l
 	}
 	return l
 }
 
-// connect returns a live connection to the peer. Each is dialed from a socket of its
-// own: where a middle box has lost track of the old path, the new one works.
-func (c *Client) connect(ctx context.Context, to netip.AddrPort) (*quic.Conn, error) {
-	l := c.link(to)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn != nil && l.conn.Context().Err() == nil {
-		return l.conn, nil
-	}
-	conn, err := c.dial(ctx, to)
-	if err != nil {
-		return nil, err
-	}
-	l.conn = conn
-	l.made = time.Now()
-	return conn, nil
-}
-
-// dial makes a connection from a new socket, which is closed with the connection.
-func (c *Client) dial(ctx context.Context, to netip.AddrPort) (*quic.Conn, error) {
+// dial makes a connection from a new socket, which is closed with the connection:
+// where a middle box has lost track of an old path, the new one works.
+func (c *Client) dial(to netip.AddrPort) (*quic.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.local, 0)))
 	if err != nil {
 		return nil, err
@@ -87,13 +65,32 @@
 	return errors.CombineErrors(t.Close(), socket.Close())
 }
 
-// Call sends a request and waits for the reply. A failure is NotRun when no
-// connection could be made, so that the request can't have reached the peer.
+// Call sends a request and waits for the reply, also for a connection to be made. A
+// failure is NotRun when there was no connection, so that the request can't have
+// reached the peer.
 func (c *Client) Call(ctx context.Context, to netip.AddrPort, r *schema.Request) (*schema.Reply, *verdict.Failure) {
-	conn, err := c.connect(ctx, to)
+	conn, err := c.link(to).connect(ctx)
+	if err != nil {
+		return nil, noConnection(err, to)
+	}
+	return call(ctx, conn, to, r)
+}
+
+// CallReachable is Call that fails at once while the peer can't be reached. It has a
+// connection tried meanwhile, for the next call.
+func (c *Client) CallReachable(ctx context.Context, to netip.AddrPort, r *schema.Request) (*schema.Reply, *verdict.Failure) {
+	conn, err := c.link(to).connectReachable(ctx)
 	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.DialFailed, "no connection to entry %s", to)
+		return nil, noConnection(err, to)
 	}
+	return call(ctx, conn, to, r)
+}
+
+func noConnection(err error, to netip.AddrPort) *verdict.Failure {
+	return verdict.Wrap(err, verdict.NotRun, verdict.DialFailed, "no connection to entry %s", to)
+}
+
+func call(ctx context.Context, conn *quic.Conn, to netip.AddrPort, r *schema.Request) (*schema.Reply, *verdict.Failure) {
 	st, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.NothingSent, "no stream to entry %s", to)
@@ -130,16 +127,7 @@
 // Restarted closes the connection to a peer whose process is of the given age if the
 // connection is older: it leads to a process that is gone, and calls on it would wait
 // until it counts as silent.
-func (c *Client) Restarted(to netip.AddrPort, age time.Duration) {
-	l := c.link(to)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn != nil && time.Since(l.made) > age {
-		conn := l.conn
-		l.conn = nil
-		go conn.CloseWithError(0, "the peer restarted")
-	}
-}
+func (c *Client) Restarted(to netip.AddrPort, age time.Duration) { c.link(to).restarted(age) }
 
 // Forget closes the connections to peers that are not in keep.
 func (c *Client) Forget(keep map[netip.AddrPort]bool) {
@@ -154,13 +142,5 @@
 	}
 }
 
-func (l *link) close() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn != nil {
-		_ = l.conn.CloseWithError(0, "peer no longer listed")
-	}
-}
-
 // Close closes all connections.
 func (c *Client) Close() { c.Forget(nil) }
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,139 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+)
+
+var (
+	// errDown: the peer could not be reached lately.
+	errDown = errors.New("the peer can't be reached now")
+	// errForgotten: the connection was closed while it was made.
+	errForgotten = errors.New("the peer is no longer called")
+)
+
+// link is the connection to one peer, shared by all calls.
+type link struct {
+	dial func() (*quic.Conn, error)
+
+	mu   sync.Mutex
+	conn *quic.Conn
+	made time.Time
+	// attempt is the making of a connection in progress, nil when there is none.
+	attempt *attempt
+	// down is set from the loss of a connection, or the failure to make one, until one
+	// is made.
+	down   bool
+	closed bool
+}
+
+// attempt is one making of a connection; conn and err are valid once done is closed.
+type attempt struct {
+	done chan struct{}
+	conn *quic.Conn
+	err  error
+}
+
+// connect returns the live connection or waits for one. All callers wait for the same
+// attempt, each no longer than its own context: attempts of their own, one after the
+// other, would let the last of many callers of a silent peer wait for all of them.
+func (l *link) connect(ctx context.Context) (*quic.Conn, error) {
+	conn, a, _ := l.current()
+	if conn != nil {
+		return conn, nil
+	}
+	return a.wait(ctx)
+}
+
+// connectReachable is connect that does not wait while the peer is down.
+func (l *link) connectReachable(ctx context.Context) (*quic.Conn, error) {
+	conn, a, down := l.current()
+	switch {
+	case conn != nil:
+		return conn, nil
+	case down:
+		return nil, errDown
+	}
+	return a.wait(ctx)
+}
+
+func (a *attempt) wait(ctx context.Context) (*quic.Conn, error) {
+	select {
+	case <-a.done:
+		return a.conn, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// current returns the live connection, or else the attempt in progress, started if
+// need be, and whether the peer could not be reached lately.
+func (l *link) current() (conn *quic.Conn, a *attempt, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.conn.Context().Err() == nil {
+		return l.conn, nil, false
+	}
+	if l.attempt == nil {
+		l.attempt = &attempt{done: make(chan struct{})}
+		go l.make(l.attempt)
+	}
+	return nil, l.attempt, l.down
+}
+
+// make makes a connection.
+func (l *link) make(a *attempt) {
+	defer close(a.done)
+	a.conn, a.err = l.dial()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempt = nil
+	l.down = a.err != nil
+	switch {
+	case a.err != nil:
+	case l.closed:
+		closeConn(a.conn)
+		a.conn, a.err = nil, errForgotten
+	default:
+		l.conn = a.conn
+		l.made = time.Now()
+		context.AfterFunc(a.conn.Context(), func() { l.lost(a.conn) })
+	}
+}
+
+// lost notes the end of a connection. Until another is made the peer counts as down:
+// most connections end by silence, and then the next attempts are silent too.
+func (l *link) lost(conn *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == conn {
+		l.down = true
+	}
+}
+
+// restarted closes a connection that is older than the peer's process.
+func (l *link) restarted(age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && time.Since(l.made) > age {
+		conn := l.conn
+		l.conn = nil
+		go conn.CloseWithError(0, "the peer restarted")
+	}
+}
+
+// close closes the connection, also one that is still being made.
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.conn != nil {
+		closeConn(l.conn)
+	}
+}
+
+func closeConn(conn *quic.Conn) { _ = conn.CloseWithError(0, "peer no longer listed") }
