--- /dev/null
+++ b/submission/adopt_test.go
@@ -0,0 +1,28 @@
+package submission
+
+import (
+	"crypto/sha256"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A submission is canceled before its request comes, and its owner stops. The request
+// comes to the entry that took the answers over: it gets the cancellation, as it would
+// have from the owner, whatever its body is.
+func TestAdoptedEarlyCancellationMeetsItsRequest(t *testing.T) {
+	c := TableConfig{Window: time.Minute, Retention: time.Minute, MaxBytes: 1 << 20}
+	owner, successor := NewTable(c), NewTable(c)
+	id := NewMinter(testOwner).Mint("team", 0)
+	r, first, failure := owner.Claim(id, "team", 0)
+	assert.Assert(t, first && failure == nil)
+	owner.End(r, Ending{Status: 410, Body: []byte("canceled")}, 0)
+	owner.Ended(0, func(r *Record, keep time.Duration) {
+		successor.Adopt(r.ID, r.Team, r.Digest, r.Ending(), keep, 0)
+	})
+	kept := successor.Get(id.String())
+	assert.Assert(t, kept != nil)
+	failure = kept.Matches(sha256.Sum256([]byte("a job")))
+	assert.Assert(t, failure == nil, "%v", failure)
+}
--- a/submission/table.go
+++ b/submission/table.go
@@ -222,6 +222,9 @@
 		return
 	}
 	r := &Record{ID: id, Team: team, Digest: digest, done: make(chan struct{}), ending: e, keepUntil: now + keep}
+	// Otherwise the late request would be refused as reusing the identifier: a second
+	// ending beside the cancellation that its caller was told.
+	r.early = digest == Digest{}
 	close(r.done)
 	s.records[id] = r
 	t.bytes.Add(int64(len(e.Body)))
