--- /dev/null
+++ b/test/chaos/pairs_test.go
@@ -0,0 +1,191 @@
+package chaos
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	standinbackend "github.com/lavendercleat/lavendercleat/internal/standin/backend"
+	standinplatform "github.com/lavendercleat/lavendercleat/internal/standin/platform"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+)
+
+// scene is a cluster under load, with the record of what its callers were told.
+type scene struct {
+	*cluster.Cluster
+	t       *testing.T
+	ledger  *cluster.Ledger
+	up      *balancer
+	callers *callers
+}
+
+// newScene starts a cluster and callers that use the given failure domain, or all for -1.
+func newScene(t *testing.T, o cluster.Options, domain int) *scene {
+	t.Helper()
+	s := &scene{Cluster: cluster.Start(t, o), t: t, ledger: cluster.NewLedger()}
+	entries := s.Entries
+	if domain >= 0 {
+		entries = s.Domain(domain)
+	}
+	s.up = newBalancer(entries)
+	s.callers = startCallers(t, s.ledger, s.up, "load", 4)
+	return s
+}
+
+// end stops the callers and checks that they got complete answers only, but for the
+// given reasons, and that no promise was broken.
+func (s *scene) end(except ...string) {
+	s.t.Helper()
+	s.callers.halt()
+	checkServed(s.t, s.callers, except...)
+	s.t.Logf("%v, slowest %s", s.callers.counts(), s.callers.slowest)
+	s.t.Log(s.ledger.Check(s.t, s.Witness()))
+}
+
+// serve waits until callers have got this many more complete answers.
+func (s *scene) serve(more int) {
+	s.t.Helper()
+	done := s.callers.counts()[client.Complete]
+	cluster.Eventually(s.t, 15*time.Second, "callers are served", func() bool {
+		return s.callers.counts()[client.Complete] >= done+more
+	})
+}
+
+// replace kills an entry, waits until the others have divided its slots among them, and
+// starts it anew.
+func (s *scene) replace(e *cluster.Entry) {
+	s.t.Helper()
+	e.Kill()
+	killed := time.Now()
+	s.up.remove(e)
+	waitSlots(s.t, s.Except([]*cluster.Entry{e}), 16)
+	s.t.Logf("slots of the dead entry taken over after %s", time.Since(killed).Round(100*time.Millisecond))
+	s.StartEntry(e)
+	waitReady(s.t, e)
+	s.up.add(e)
+}
+
+// The platform's service hangs and an entry is killed under load. Its callers are told
+// that the owner is gone; the entry that takes its place gets its state from a peer
+// and serves, and all others are served throughout.
+func TestPlatformHangsAndEntryDies(t *testing.T) {
+	t.Parallel()
+	s := newScene(t, cluster.Options{Domains: 1, Entries: 2, Workers: 2, OneProcess: true, Seeds: true}, -1)
+	s.Platform.Freeze()
+	s.serve(50)
+	s.replace(s.Entries[0])
+	waitSlots(t, s.Entries, 16)
+	s.serve(50)
+	s.Platform.Thaw()
+	s.end("owner_gone")
+}
+
+// A failure domain is cut off, and an entry inside it is stopped as planned under load.
+// The entry ends by itself, its requests are finished, and every caller inside gets a
+// complete answer.
+func TestDomainCutAndPlannedStop(t *testing.T) {
+	t.Parallel()
+	s := newScene(t, cluster.Options{Domains: 2, Entries: 2, Workers: 2, OneProcess: true, Seeds: true}, 0)
+	s.Partition(s.Domain(0))
+	time.Sleep(noticed) // the entries give each other up meanwhile
+	e := s.Entries[0]
+	e.Terminate()
+	s.up.remove(e)
+	assert.NilError(t, e.Wait(30*time.Second))
+	waitSlots(t, s.Entries[1:2], 16)
+	s.serve(50)
+	s.HealPartition(s.Domain(0))
+	s.end()
+}
+
+// A backend server leaves while the platform's list lags and the platform is cut off
+// from every entry. Its own answer is all they have: it is told on between entries,
+// and after 3 s the leaving server gets no new work.
+func TestWorkerLeavesWhileListLagsAndPlatformIsCut(t *testing.T) {
+	t.Parallel()
+	s := newScene(t, cluster.Options{Domains: 1, Entries: 2, Workers: 2}, -1)
+	for _, e := range s.Entries {
+		e.Platform.Silence()
+	}
+	w := s.Workers[0]
+	s.Behave(w, standinbackend.Behaviour{Mode: standinbackend.Leaving})
+	time.Sleep(3 * time.Second) // the promise: a few seconds
+	was := s.WitnessOf(w)
+	s.serve(50)
+	is := s.WitnessOf(w)
+	assert.Equal(t, is.Starts, was.Starts)
+	assert.Equal(t, is.Refused, was.Refused)
+	t.Logf("the leaving server refused %d tasks in all", is.Refused)
+	for _, e := range s.Entries {
+		e.Platform.Clear()
+	}
+	s.end()
+}
+
+// A booking runs, its entry is frozen, and the backend server's reply is lost. A caller
+// who asks through another entry is told to come back; after the owner wakes it gets
+// the booking's one ending, that it may have run, and nothing starts it again.
+func TestOwnerFrozenAndReplyLost(t *testing.T) {
+	t.Parallel()
+	s := newScene(t, cluster.Options{Domains: 2, Entries: 1, Workers: 1}, 1)
+	owner, other := s.Entries[0], s.Entries[1]
+	s.Behave(s.Workers[0], standinbackend.Behaviour{Mode: standinbackend.DropReply})
+	id, j := reserve(t, owner), longJob("frozen", 500*time.Millisecond)
+	first := make(chan client.Reply, 1)
+	go func() {
+		r, err := s.ledger.Put(t.Context(), other.Client(cluster.Token), id, j)
+		assert.Check(t, err)
+		first <- r
+	}()
+	cluster.Eventually(t, 5*time.Second, "the booking runs", func() bool { return s.Witness().Tasks[id+"/0"] == 1 })
+	owner.Freeze()
+	r := <-first
+	assert.Check(t, r.Status == http.StatusServiceUnavailable && r.Outcome == client.Pending, "%d %s", r.Status, r.Outcome)
+	owner.Thaw()
+	ctx, cancel := context.WithTimeout(t.Context(), finalWithin)
+	defer cancel()
+	r, err := s.ledger.Ask(ctx, newBalancer(s.Entries).pick, id, j)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Outcome, client.Failed)
+	assert.Equal(t, r.Verdict, "may-have-run")
+	assert.Equal(t, r.Reason, "connection_lost")
+	s.end("connection_lost") // a job of the load may run on a lent slot of the same server
+}
+
+// Every connection between entries goes silent for good while new ones work, and the
+// platform hangs after one entry alone has heard of a new configuration. The entries
+// make new connections, the configuration is in force everywhere within seconds, and
+// callers are served throughout.
+func TestSilentPeersAndNewConfiguration(t *testing.T) {
+	t.Parallel()
+	s := newScene(t, cluster.Options{Domains: 2, Entries: 2, Workers: 1}, -1)
+	for _, e := range s.Entries {
+		e.Relay.MuteExisting()
+		if e != s.Entries[0] {
+			e.Platform.Silence()
+		}
+	}
+	doc := cluster.Config()
+	doc.Revision = 2
+	s.UpdateConfig(1, doc)
+	begin := time.Now()
+	for n, e := range s.Entries {
+		cluster.Eventually(t, 10*time.Second, "revision 2 is in force", func() bool {
+			return e.Metric(t, "lavendercleat_config_revision") == 2
+		})
+		if n == 0 {
+			s.PlatformFaults(standinplatform.Faults{Down: true})
+		}
+	}
+	s.serve(50)
+	t.Logf("in force everywhere after %s", time.Since(begin).Round(100*time.Millisecond))
+	s.PlatformFaults(standinplatform.Faults{})
+	for _, e := range s.Entries[1:] {
+		e.Platform.Clear()
+	}
+	s.end()
+}
