--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -25,6 +25,7 @@
 	// onBorrow and onGiveBack carry messages about slots to peers.
 	onBorrow   func(sched.Borrow)
 	onGiveBack func(sched.GiveBack)
+	onHint     func(sched.Hint)
 
 	mu    sync.Mutex
 	sched *sched.Scheduler
@@ -87,6 +88,7 @@
 		onLeaving:  func(string) {},
 		onBorrow:   func(sched.Borrow) {},
 		onGiveBack: func(sched.GiveBack) {},
+		onHint:     func(sched.Hint) {},
 		sched:      sched.New(s),
 		jobs:       make(map[sched.JobKey]*jobRun),
 		calls:      make(map[callKey]context.CancelFunc),
@@ -190,6 +192,9 @@
 	for _, g := range r.GiveBacks {
 		go d.onGiveBack(g)
 	}
+	for _, h := range r.Hints {
+		go d.onHint(h)
+	}
 	for range r.Ejections {
 		d.metrics.ejected()
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,7 +121,7 @@
 		domain: e.settings.Domain, leaving: member.NewLeaving(),
 	}
 	e.loans = &loans{self: process, client: e.client, members: e.members, dispatcher: d, metrics: e.metrics}
-	d.onBorrow, d.onGiveBack = e.loans.borrow, e.loans.giveBack
+	d.onBorrow, d.onGiveBack, d.onHint = e.loans.borrow, e.loans.giveBack, e.loans.hint
 	subs := newSubmissions(e, minter, d)
 	e.router = &router{
 		clock: e.clock, minter: minter, submissions: subs, members: e.members,
@@ -203,7 +203,8 @@
 func (e *Entry) fillHeartbeat(h *schema.Heartbeat) {
 	h.ConfigRevision = e.state.config().Revision()
 	h.VmListVersion = e.state.vmList().GetVersion()
-	h.FreeSlots = uint32(e.workers.dispatcher.load().Lendable)
+	load := e.workers.dispatcher.load()
+	h.FreeSlots, h.WantedSlots = uint32(load.Lendable), uint32(load.Wanted)
 	h.Leaving = e.workers.leavingList()
 }
 
--- a/internal/entry/loans.go
+++ b/internal/entry/loans.go
@@ -47,11 +47,21 @@
 // heard takes in how many slots a peer could lend.
 func (l *loans) heard(h *schema.Heartbeat) {
 	p := sched.Peer{Address: h.GetAddress(), Incarnation: h.GetIncarnation(), Domain: h.GetDomain()}
-	l.setFree(p, h.GetFreeSlots())
+	l.setFree(p, h.GetFreeSlots(), h.GetWantedSlots())
 }
 
-func (l *loans) setFree(p sched.Peer, free uint32) {
-	l.dispatcher.step(func(now time.Duration) { l.dispatcher.sched.SetPeerFree(now, p, int(free)) })
+func (l *loans) setFree(p sched.Peer, free, wanted uint32) {
+	l.dispatcher.step(func(now time.Duration) { l.dispatcher.sched.SetPeerFree(now, p, int(free), int(wanted)) })
+}
+
+// hint lets a peer that lacks slots know of free ones, by an early heartbeat.
+func (l *loans) hint(h sched.Hint) {
+	to, err := netip.ParseAddrPort(h.Peer.Address)
+	if err != nil {
+		return
+	}
+	l.metrics.message("hint")
+	l.members.exchange(context.Background(), to, l.members.heartbeat())
 }
 
 // borrow asks a peer for slots and hands the answer to the scheduler.
@@ -79,7 +89,7 @@
 	}
 	reply := l.call(g.Peer, &schema.Request{Body: &schema.Request_GiveBack{GiveBack: back}})
 	if reply != nil {
-		l.setFree(g.Peer, reply.GetFreeSlots())
+		l.setFree(g.Peer, reply.GetFreeSlots(), 0)
 	}
 }
 
--- a/internal/load/system.go
+++ b/internal/load/system.go
@@ -199,7 +199,7 @@
 		for _, e := range s.entries {
 			st := e.Status()
 			slots += st.GetSlots()
-			ready = ready && st.GetReady()
+			ready = ready && st.GetReady() && st.GetSlots() > 0
 		}
 		if ready && slots == want {
 			return nil
--- a/sched/borrow.go
+++ b/sched/borrow.go
@@ -21,13 +21,16 @@
 	// free is how many slots it could lend by its latest word, less what was asked
 	// for since. A peer without any is not asked.
 	free int
+	// wants is set while the peer lacks slots that this entry did not have.
+	wants bool
 	// asking is set while a request is under way: one at a time per peer.
 	asking bool
+	// loans are those borrowed from the peer.
+	loans []*loan
 }
 
 // loan is borrowed slots as the borrower sees them.
 type loan struct {
-	peer  *peer
 	id    slot.LoanID
 	until time.Duration
 	ended bool
@@ -63,27 +66,41 @@
 		}
 		s.peers = append(s.peers, old[i])
 	}
-	for _, l := range s.loans {
-		if !slices.Contains(s.peers, l.peer) {
+	for _, p := range old {
+		if slices.Contains(s.peers, p) {
+			continue
+		}
+		for _, l := range p.loans {
 			s.endLoan(l)
 		}
 	}
-	s.dropLoans()
 	s.schedule(now)
 }
 
-// SetPeerFree takes in how many slots a peer says it could lend.
-func (s *Scheduler) SetPeerFree(now time.Duration, p Peer, free int) {
-	for _, o := range s.peers {
-		if o.Peer == p && !o.asking {
-			o.free = free
-			if free > 0 && s.waiting > 0 {
-				s.schedule(now)
-			}
-		}
+// SetPeerFree takes in how many slots a peer says it could lend, and how many it lacks.
+func (s *Scheduler) SetPeerFree(now time.Duration, p Peer, free, wanted int) {
+	o := s.peer(p)
+	if o == nil {
+		return
+	}
+	o.wants = wanted > 0
+	if o.asking {
+		return // the answer is newer
+	}
+	o.free = free
+	if free > 0 && s.waiting > 0 {
+		s.schedule(now)
 	}
 }
 
+func (s *Scheduler) peer(p Peer) *peer {
+	i := slices.IndexFunc(s.peers, func(o *peer) bool { return o.Peer == p })
+	if i < 0 {
+		return nil
+	}
+	return s.peers[i]
+}
+
 func (s *Scheduler) hasPeer(domain string) bool {
 	return slices.ContainsFunc(s.peers, func(p *peer) bool { return p.Domain == domain })
 }
@@ -142,7 +159,7 @@
 // ask requests slots, and with the same message the extension of loans that need it.
 func (s *Scheduler) ask(now time.Duration, p *peer, k *kind, n int) {
 	b := Borrow{Peer: p.Peer, Slots: n, Term: s.term(k), Sent: now, Needs: k.needs, kind: k}
-	b.Extend = s.extensions(now, p)
+	b.Extend = p.extensions(now)
 	p.free -= n
 	p.asking = true
 	k.asked += n
@@ -150,10 +167,10 @@
 }
 
 // extensions returns the loans of a peer that are in use and should last longer.
-func (s *Scheduler) extensions(now time.Duration, p *peer) []slot.LoanID {
+func (p *peer) extensions(now time.Duration) []slot.LoanID {
 	var ids []slot.LoanID
-	for _, l := range s.loans {
-		if l.peer == p && !l.extending && l.running() > 0 && l.left(now) < part(l.term, extendWith) {
+	for _, l := range p.loans {
+		if !l.extending && l.running() > 0 && l.left(now) < part(l.term, extendWith) {
 			l.extending = true
 			ids = append(ids, l.id)
 		}
@@ -192,11 +209,10 @@
 	if b.kind != nil {
 		b.kind.asked -= b.Slots
 	}
-	i := slices.IndexFunc(s.peers, func(p *peer) bool { return p.Peer == b.Peer })
-	if i < 0 {
+	p := s.peer(b.Peer)
+	if p == nil {
 		return // the peer is gone, and what it lent is divided anew
 	}
-	p := s.peers[i]
 	p.asking = false
 	s.extended(p, b, answer)
 	if answer == nil {
@@ -212,8 +228,8 @@
 
 // extended takes in which extensions were granted.
 func (s *Scheduler) extended(p *peer, b Borrow, answer *Loan) {
-	for _, l := range s.loans {
-		if l.peer != p || !slices.Contains(b.Extend, l.id) {
+	for _, l := range p.loans {
+		if !slices.Contains(b.Extend, l.id) {
 			continue
 		}
 		if answer != nil && slices.Contains(answer.Extended, l.id) {
@@ -236,7 +252,7 @@
 
 // addLoan makes borrowed slots usable.
 func (s *Scheduler) addLoan(now time.Duration, p *peer, from slot.Loan, b Borrow) {
-	l := &loan{peer: p, id: from.ID, until: b.Sent + b.Term, term: b.Term}
+	l := &loan{id: from.ID, until: b.Sent + b.Term, term: b.Term}
 	for _, ws := range from.Slots {
 		w := s.workers[ws.Worker]
 		if w == nil || ws.Slots <= 0 {
@@ -247,7 +263,7 @@
 		w.borrowed = append(w.borrowed, g)
 		s.placeGrant(g)
 	}
-	s.loans = append(s.loans, l)
+	p.loans = append(p.loans, l)
 }
 
 // endLoan stops starts on a loan's slots.
@@ -259,66 +275,76 @@
 	}
 }
 
-func (s *Scheduler) dropLoans() {
-	s.loans = slices.DeleteFunc(s.loans, func(l *loan) bool { return l.ended })
-}
-
 // tendLoans ends loans whose term is over, extends those in use and gives back slots
 // that stayed idle.
 func (s *Scheduler) tendLoans(now time.Duration) {
-	if len(s.loans) == 0 {
-		return
-	}
-	for _, l := range s.loans {
-		if now >= l.until {
-			s.endLoan(l)
-		}
-	}
-	s.giveBack(now)
-	s.dropLoans()
 	for _, p := range s.peers {
+		if len(p.loans) == 0 {
+			continue
+		}
+		for _, l := range p.loans {
+			if now >= l.until {
+				s.endLoan(l)
+			}
+		}
+		s.giveBack(now, p)
+		p.loans = slices.DeleteFunc(p.loans, func(l *loan) bool { return l.ended })
 		s.extend(now, p)
 	}
 }
 
 // extend asks a peer to let loans that are in use last longer.
 func (s *Scheduler) extend(now time.Duration, p *peer) {
-	due := slices.ContainsFunc(s.loans, func(l *loan) bool {
-		return l.peer == p && !l.extending && l.running() > 0 && l.left(now) < part(l.term, extendBelow)
+	due := slices.ContainsFunc(p.loans, func(l *loan) bool {
+		return !l.extending && l.running() > 0 && l.left(now) < part(l.term, extendBelow)
 	})
 	if !due || p.asking {
 		return
 	}
-	b := Borrow{Peer: p.Peer, Term: s.config.LoanTerm, Sent: now, Extend: s.extensions(now, p)}
+	b := Borrow{Peer: p.Peer, Term: s.config.LoanTerm, Sent: now, Extend: p.extensions(now)}
 	p.asking = true
 	s.ready.Borrows = append(s.ready.Borrows, b)
 }
 
-// giveBack returns idle slots, all those of one peer in one message.
-func (s *Scheduler) giveBack(now time.Duration) {
-	for _, p := range s.peers {
-		var parts []slot.Loan
-		for _, l := range s.loans {
-			if l.peer != p || l.ended {
-				continue
-			}
-			if idle := s.takeIdle(now, l); len(idle) > 0 {
-				parts = append(parts, slot.Loan{ID: l.id, Slots: idle})
-			}
+// giveBack returns a peer's idle slots, all in one message once one of them has been
+// idle for long enough.
+func (s *Scheduler) giveBack(now time.Duration, p *peer) {
+	due := slices.ContainsFunc(p.loans, func(l *loan) bool {
+		return !l.ended && l.idleTooLong(now, s.config.ReturnAfter)
+	})
+	if due {
+		s.returnIdle(p)
+	}
+}
+
+// idleTooLong tells whether a slot of the loan has been idle for long enough.
+func (l *loan) idleTooLong(now, after time.Duration) bool {
+	return slices.ContainsFunc(l.grants, func(g *grant) bool {
+		return g.slots > g.running && (l.recalled || now-g.idleSince >= after)
+	})
+}
+
+// returnIdle returns all idle slots of a peer.
+func (s *Scheduler) returnIdle(p *peer) {
+	var parts []slot.Loan
+	for _, l := range p.loans {
+		if l.ended {
+			continue
 		}
-		if len(parts) > 0 {
-			s.ready.GiveBacks = append(s.ready.GiveBacks, GiveBack{Peer: p.Peer, Loans: parts})
+		if idle := s.takeIdle(l); len(idle) > 0 {
+			parts = append(parts, slot.Loan{ID: l.id, Slots: idle})
 		}
 	}
+	s.ready.GiveBacks = append(s.ready.GiveBacks, GiveBack{Peer: p.Peer, Loans: parts})
 }
 
 // takeIdle takes the idle slots out of a loan and returns, for the workers of those,
 // how many slots are kept.
-func (s *Scheduler) takeIdle(now time.Duration, l *loan) []slot.WorkerSlots {
+func (s *Scheduler) takeIdle(l *loan) []slot.WorkerSlots {
 	var idle []slot.WorkerSlots
 	left := 0
 	for _, g := range l.grants {
-		if n := g.slots - g.running; n > 0 && (l.recalled || now-g.idleSince >= s.config.ReturnAfter) {
+		if n := g.slots - g.running; n > 0 {
 			g.slots -= n
 			s.placeGrant(g)
 			idle = append(idle, slot.WorkerSlots{Worker: g.worker.Address, Slots: g.slots})
--- a/sched/config.go
+++ b/sched/config.go
@@ -107,7 +107,7 @@
 		Linger:         25 * time.Millisecond,
 		LoanTerm:       2 * time.Second,
 		MaxLoanTerm:    30 * time.Second,
-		ReturnAfter:    30 * time.Millisecond,
+		ReturnAfter:    50 * time.Millisecond,
 		LendReserve:    0,
 		WaitShare:      [High + 1]float64{Low: 0.4, Normal: 0.5, High: 0.6},
 		BacklogShare:   0.7,
--- a/sched/lend.go
+++ b/sched/lend.go
@@ -37,6 +37,7 @@
 	}
 	if starved {
 		answer.Recalled = answer.Extended
+		s.remember(r, 0)
 		return answer
 	}
 	if slots := s.collect(now, min(r.Slots, s.lendable()), r.Needs); len(slots) > 0 {
@@ -44,9 +45,57 @@
 		answer.ID = s.lent.Lend(now, r.Borrower, slots, term)
 	}
 	answer.Free = s.lendable()
+	lent := 0
+	for _, w := range answer.Slots {
+		lent += w.Slots
+	}
+	s.remember(r, lent)
 	return answer
 }
 
+// remember notes that a peer got less than it asked for.
+func (s *Scheduler) remember(r LendRequest, lent int) {
+	for _, p := range s.peers {
+		if p.Address == r.Borrower.Address && p.Incarnation == r.Borrower.Incarnation {
+			p.wants = lent < r.Slots
+		}
+	}
+}
+
+// hint tells peers that lack slots, no more of them than there are slots, that some
+// are free. Without it they would learn it from the next heartbeat, a task's length
+// later.
+func (s *Scheduler) hint() {
+	free := 0
+	for i := range s.peers {
+		// The turn goes round, so that no peer is always told first.
+		p := s.peers[(s.hintTurn+i)%len(s.peers)]
+		if !p.wants {
+			continue
+		}
+		if free == 0 {
+			if free = s.lendable(); free == 0 {
+				return
+			}
+		}
+		p.wants = false
+		s.ready.Hints = append(s.ready.Hints, Hint{Peer: p.Peer})
+		if free--; free == 0 {
+			s.hintTurn += i + 1
+			return
+		}
+	}
+}
+
+// wanted returns how many slots the waiting tasks lack.
+func (s *Scheduler) wanted() int {
+	n := 0
+	for _, k := range s.kindList {
+		n += max(k.room()-k.asked, 0)
+	}
+	return n
+}
+
 // starved tells whether tasks wait for slots of this entry's failure domain.
 func (s *Scheduler) starved() bool {
 	if s.waiting == 0 {
@@ -81,7 +130,7 @@
 
 // lendable returns how many slots this entry could lend now.
 func (s *Scheduler) lendable() int {
-	if s.config.Policy != Shares || s.starved() {
+	if s.config.Policy != Shares || s.held || s.starved() {
 		return 0
 	}
 	reserve := int(math.Ceil(s.config.LendReserve * float64(s.capacities.own)))
--- a/sched/load.go
+++ b/sched/load.go
@@ -12,6 +12,8 @@
 	Slots    int
 	Free     int
 	Lendable int
+	// Wanted are the slots that waiting tasks lack.
+	Wanted   int
 	Lent     int
 	Borrowed int
 	Ejected  int
@@ -24,6 +26,7 @@
 		Running:  len(s.runs),
 		Waiting:  s.waiting,
 		Lendable: s.lendable(),
+		Wanted:   s.wanted(),
 		Lent:     s.lent.Total(),
 	}
 	for i := range s.index {
--- a/sched/ready.go
+++ b/sched/ready.go
@@ -52,6 +52,12 @@
 	Loans []slot.Loan
 }
 
+// Hint tells the embedder to let a peer that lacks slots know at once, by a heartbeat,
+// that this entry has some now.
+type Hint struct {
+	Peer Peer
+}
+
 // Ejection tells that a worker gets no task for some time.
 type Ejection struct {
 	Worker string
@@ -65,6 +71,7 @@
 	Ended     []Ended
 	Borrows   []Borrow
 	GiveBacks []GiveBack
+	Hints     []Hint
 	Ejections []Ejection
 }
 
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -31,11 +31,12 @@
 	pass    uint64
 	budget  retryBudget
 
-	peers  []*peer
-	loans  []*loan
-	lent   *slot.Ledger
-	timers timers
-	ready  Ready
+	peers []*peer
+	lent  *slot.Ledger
+	// hintTurn is the peer that is told first that slots are free.
+	hintTurn int
+	timers   timers
+	ready    Ready
 	// held keeps tasks from being started; see Hold.
 	held bool
 }
@@ -104,6 +105,8 @@
 	}
 	if s.waiting > 0 {
 		s.borrow(now)
+	} else {
+		s.hint()
 	}
 }
 
--- /dev/null
+++ b/test/loan/loan_test.go
@@ -0,0 +1,143 @@
+package loan
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// Metrics of an entry.
+const (
+	borrowedSlots = "lavendercleat_borrowed_slots"
+	lentSlots     = "lavendercleat_lent_slots"
+	gotSlots      = `lavendercleat_borrows_total{result="slots"}`
+	running       = "lavendercleat_running_tasks"
+)
+
+// slow makes every task of a job run for some time.
+func slow(j schema.Job, ms int) schema.Job {
+	for i := range j.Tasks {
+		j.Tasks[i].Payload = []byte(fmt.Sprintf(`{"run_ms":%d,"task":%d}`, ms, i))
+	}
+	return j
+}
+
+// A job of as many tasks as there are slots in two failure domains comes to one entry.
+// It borrows what the others don't use, so at some moment far more tasks run than its
+// own share allows; afterwards every slot is back.
+func TestBurstUsesSlotsOfPeers(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 2, Entries: 2, Workers: 2, Slots: 4})
+	e := c.Entries[0]
+	own := e.Metric(t, "lavendercleat_slots")
+	j := slow(cluster.Job(cluster.Quote, "burst", 16), 3000)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		r, err := e.Client(cluster.Token).Submit(t.Context(), j)
+		if assert.Check(t, err) {
+			cluster.CheckWhole(t, j, r)
+		}
+	})
+	cluster.Eventually(t, 20*time.Second, "more tasks run than the own share allows", func() bool {
+		return e.Metric(t, running) > own
+	})
+	wg.Wait()
+	w := c.Witness()
+	assert.Equal(t, w.Doubled, int64(0))
+	assert.Equal(t, w.Starts, int64(16))
+	assert.Assert(t, e.Metric(t, gotSlots) > 0)
+	cluster.Eventually(t, 20*time.Second, "every slot is back", func() bool {
+		held := 0.0
+		for _, e := range c.Entries {
+			held += e.Metric(t, borrowedSlots) + e.Metric(t, lentSlots)
+		}
+		return held == 0
+	})
+}
+
+// A kind may run in domain-b only and its caller asks an entry of domain-a, which has
+// no slot there. The job is admitted and runs on borrowed slots.
+func TestKindOfAnotherDomain(t *testing.T) {
+	doc := cluster.Config()
+	doc.Kinds["remote"] = &schema.Kind{Path: "/remote", Idempotent: true, OneCall: true, RunTimeMs: 20, DeadlineMs: 20_000, Domains: []string{"domain-b"}}
+	c := cluster.Start(t, cluster.Options{Domains: 2, Entries: 1, Workers: 1, Config: doc})
+	j := cluster.Job("remote", "from a", 12)
+	var r client.Reply
+	cluster.Eventually(t, 20*time.Second, "the entry knows its peer in domain-b", func() bool {
+		var err error
+		r, err = c.Entries[0].Client(cluster.Token).Submit(t.Context(), j)
+		assert.NilError(t, err)
+		return r.Reason != string(verdict.NoWorkers)
+	})
+	cluster.CheckWhole(t, j, r)
+	for _, w := range c.Workers {
+		if w.Domain == "domain-a" {
+			assert.Equal(t, c.WitnessOf(w).Starts, int64(0))
+		}
+	}
+}
+
+// Bursts come to two entries while the answers about slots get lost on the way back: a
+// lender believes it lent, the borrower knows of nothing. Slots stay idle for a term,
+// but every caller gets a whole answer and no task starts twice. After healing nothing
+// stays lent.
+func TestLostLoanMessages(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 3, Workers: 2, Slots: 6})
+	ledger := cluster.NewLedger()
+	stop := make(chan struct{})
+	var wg, lossy sync.WaitGroup
+	lossy.Go(func() { loseReplies(c, stop) })
+	for n := range 40 {
+		e := c.Entries[n%2]
+		wg.Go(func() {
+			j := slow(cluster.Job(cluster.Quote, fmt.Sprint(n), 10), 30)
+			r, err := ledger.Submit(t.Context(), func() *client.Client { return e.Client(cluster.Token) }, j)
+			if assert.Check(t, err) {
+				assert.Check(t, r.Outcome == client.Complete, "%d: %s %s", n, r.Reason, r.Message)
+			}
+		})
+	}
+	wg.Wait()
+	close(stop)
+	lossy.Wait()
+	c.HealPeers()
+	ledger.Check(t, c.Witness())
+	cluster.Eventually(t, 20*time.Second, "nothing stays lent", func() bool {
+		held := 0.0
+		for _, e := range c.Entries {
+			held += e.Metric(t, borrowedSlots) + e.Metric(t, lentSlots)
+		}
+		return held == 0
+	})
+}
+
+// loseReplies drops what the entries answer to each other, on and off.
+func loseReplies(c *cluster.Cluster, stop chan struct{}) {
+	for {
+		for _, e := range c.Entries {
+			for _, o := range c.Entries {
+				if o != e {
+					e.Relay.BlockReplies(o.IP)
+				}
+			}
+		}
+		select {
+		case <-time.After(150 * time.Millisecond):
+		case <-stop:
+			return
+		}
+		c.HealPeers()
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-stop:
+			return
+		}
+	}
+}
