--- a/sched/config.go
+++ b/sched/config.go
@@ -112,7 +112,7 @@
 		WaitShare:      [High + 1]float64{Low: 0.4, Normal: 0.5, High: 0.6},
 		BacklogShare:   0.7,
 		PromoteShare:   0.5,
-		WorkWeight:     0.3,
+		WorkWeight:     1,
 		RefusalPause:   20 * time.Millisecond,
 		DialPause:      500 * time.Millisecond,
 		MaxPause:       15 * time.Second,
