--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -40,25 +40,34 @@
 	e.router.submissions.table.Seal()
 	patience, cancel := context.WithTimeout(ctx, e.settings.StopTimeout)
 	defer cancel()
-	e.finishJobs(ctx, patience)
-	e.handOver(ctx, patience)
+	if e.finishJobs(ctx, patience) {
+		e.handOver(ctx, patience)
+	}
 	err := e.leave(ctx)
 	e.log.WithField("event", "stopped").Info("entry stopped")
 	return err
 }
 
-// finishJobs waits for the jobs in flight, and ends them when the stop times out.
-func (e *Entry) finishJobs(ctx, patience context.Context) {
+// finishJobs waits for the jobs in flight, and ends them when the stop times out. It
+// tells whether every submission has ended; otherwise nothing may be handed over, for
+// a successor says of those it has no answer of that they never started.
+func (e *Entry) finishJobs(ctx, patience context.Context) bool {
 	d := e.router.submissions.dispatcher
+	running := e.router.submissions.table.Running
 	// The slots are kept while tasks wait for them: given back at once, the jobs in
 	// flight could not be finished.
 	pollUntil(patience, func() bool { return d.load().Waiting == 0 })
 	e.members.handBack(ctx)
-	if pollUntil(patience, func() bool { return e.router.submissions.table.Running() == 0 }) {
-		return
+	if pollUntil(patience, func() bool { return running() == 0 }) {
+		return true
 	}
-	e.log.WithFields(logrus.Fields{"event": "stop_timeout", "jobs": e.router.submissions.table.Running()}).Warn("jobs in flight are broken off")
-	d.stop()
+	e.log.WithFields(logrus.Fields{"event": "stop_timeout", "jobs": running()}).Warn("jobs in flight are broken off")
+	last, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	return pollUntil(last, func() bool {
+		d.stop() // also a job whose request was accepted only just before
+		return running() == 0
+	})
 }
 
 // handOver hands the answers over. A lone entry serves them until the stop times out;
