--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -22,6 +22,8 @@
 	metrics *Metrics
 	// onLeaving is told of workers that say that they are leaving.
 	onLeaving func(worker string)
+	// onPause is told of a pause of the process; it must call release.
+	onPause func(late time.Duration)
 	// onBorrow and onGiveBack carry messages about slots to peers.
 	onBorrow   func(sched.Borrow)
 	onGiveBack func(sched.GiveBack)
@@ -32,6 +34,10 @@
 	jobs  map[sched.JobKey]*jobRun
 	calls map[callKey]context.CancelFunc
 	next  sched.JobKey
+	// stepped is the time of the latest step, holds the number of pauses after which
+	// the view is not yet refreshed.
+	stepped time.Duration
+	holds   int
 	// halted is set once nothing may start or end any more.
 	halted bool
 }
@@ -81,7 +87,7 @@
 }
 
 func newDispatcher(c *clock.Clock, client *backend.Client, m *Metrics, s sched.Config) *dispatcher {
-	return &dispatcher{
+	d := &dispatcher{
 		clock:      c,
 		client:     client,
 		metrics:    m,
@@ -93,6 +99,8 @@
 		jobs:       make(map[sched.JobKey]*jobRun),
 		calls:      make(map[callKey]context.CancelFunc),
 	}
+	d.onPause = func(time.Duration) { d.release() }
+	return d
 }
 
 // halt makes the dispatcher act on nothing any more and breaks off its calls, as when
@@ -151,7 +159,9 @@
 		d.mu.Unlock()
 		return
 	}
-	event(d.clock.Now())
+	now := d.clock.Now()
+	d.notePause(now)
+	event(now)
 	actions := d.commands(d.sched.Ready())
 	d.mu.Unlock()
 	for _, act := range actions {
@@ -159,6 +169,31 @@
 	}
 }
 
+// notePause notices that the process stood still, by the time since the latest step:
+// there is one with every tick. Before the event is acted on, starts are held: peers
+// have given this entry's slots to others meanwhile, and workers may have left.
+func (d *dispatcher) notePause(now time.Duration) {
+	late := now - d.stepped
+	first := d.stepped == 0
+	d.stepped = now
+	if first || late <= pauseLimit {
+		return
+	}
+	d.holds++
+	d.sched.Hold()
+	go d.onPause(late)
+}
+
+// release ends the hold of one pause.
+func (d *dispatcher) release() {
+	d.step(func(now time.Duration) {
+		d.holds--
+		if d.holds == 0 {
+			d.sched.Release(now)
+		}
+	})
+}
+
 // commands turns the scheduler's commands into what is done without the lock.
 func (d *dispatcher) commands(r sched.Ready) []func() {
 	var actions []func()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,6 +134,7 @@
 		router: e.router, members: e.members, syncer: e.syncer, loans: e.loans, handover: e.handover, status: e.Status,
 	}
 	d.onLeaving = func(worker string) { e.workers.markLeaving(worker) }
+	d.onPause = e.paused
 	e.state.subscribe(e.refresh)
 	e.publishGauges()
 }
@@ -192,6 +193,16 @@
 	return e.settings.IdentifierWindow + deadline + e.settings.AnswerRetention
 }
 
+// paused brings the view up to date after a pause of the process, then lets tasks start
+// again. The peers' answers tell who lives and which workers are leaving, and their
+// having answered means that they count with this entry again.
+func (e *Entry) paused(late time.Duration) {
+	e.metrics.count("pauses", "noticed_by", "tick")
+	e.log.WithFields(logrus.Fields{"event": "paused", "late": late}).Warn("the process stood still; asking the peers before starting tasks")
+	e.members.refresh(context.Background(), e.settings.PeerTimeout)
+	e.workers.dispatcher.release()
+}
+
 // heard acts on what a peer's heartbeat tells.
 func (e *Entry) heard(h *schema.Heartbeat) {
 	e.workers.takeLeaving(h.GetLeaving())
@@ -224,6 +235,7 @@
 	e.metrics.gauge("lent_slots", func() float64 { return float64(load().Lent) })
 	e.metrics.gauge("ejected_workers", func() float64 { return float64(load().Ejected) })
 	e.metrics.gauge("members", func() float64 { return float64(len(e.members.members())) })
+	e.metrics.gauge("leaving_workers", func() float64 { return float64(len(e.workers.leavingList())) })
 	e.metrics.gauge("config_revision", func() float64 { return float64(e.state.config().Revision()) })
 	e.metrics.gauge("submissions", func() float64 { return float64(e.router.submissions.table.Len()) })
 	e.publishTraffic()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -81,7 +81,7 @@
 // is final: an owner that is cut off, or the holder of its answers, may tell the one
 // true ending to another caller.
 func (r *router) unanswered(owner, holder member.Process, id submission.ID, c call) reply {
-	if r.members.fate(holder, id.Minted) == member.Replaced || r.members.fate(owner, id.Minted) == member.Settled {
+	if r.members.liveness(holder, id.Minted) == member.Replaced || r.members.liveness(owner, id.Minted) == member.Expired {
 		return r.ownerGone(c)
 	}
 	return r.unreachable(c)
@@ -90,7 +90,11 @@
 // ownerGone is final: the owner is dead, and its right to start tasks with it, or its
 // time to start them and to tell of them is over. What it had started is unknown.
 func (r *router) ownerGone(c call) reply {
-	return r.refuse(c.id, verdict.New(verdict.MayHaveRun, verdict.OwnerGone, "the entry that ran this submission is gone; it may have run"))
+	return r.refuse(c.id, ownerGone())
+}
+
+func ownerGone() *verdict.Failure {
+	return verdict.New(verdict.MayHaveRun, verdict.OwnerGone, "the entry that ran this submission is gone; it may have run")
 }
 
 // unreachable is not final: an owner that is cut off may still hold the answer.
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -20,6 +20,9 @@
 // silent entry's slots.
 const pauseLimit = time.Second
 
+// refreshPause is the pause before the peers are asked again.
+const refreshPause = 20 * time.Millisecond
+
 // membership exchanges heartbeats with the peers and keeps the view of them.
 type membership struct {
 	clock    *clock.Clock
@@ -194,7 +197,7 @@
 	m.with(func(v *member.View) {
 		now := m.clock.Now()
 		if late := now - m.lastBeat - m.interval; m.lastBeat != 0 && late > pauseLimit {
-			v.Paused(late)
+			v.Paused(now, late)
 		}
 		m.lastBeat = now
 		changed = v.Tick(now)
@@ -233,6 +236,22 @@
 // those that can be reached know what it tells.
 func (m *membership) announce(ctx context.Context) { m.send(ctx, nil).Wait() }
 
+// refresh asks the peers until each live one has answered, or for a time at most: the
+// first call after a pause often fails, on a connection that timed out meanwhile.
+func (m *membership) refresh(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	begin := m.clock.Now()
+	for {
+		m.announce(ctx)
+		fresh := false
+		m.with(func(v *member.View) { fresh = v.HeardSince(begin) })
+		if fresh || !sleep(ctx, refreshPause) {
+			return
+		}
+	}
+}
+
 // handBack tells the peers that this entry's slots are theirs.
 func (m *membership) handBack(ctx context.Context) {
 	m.with(func(*member.View) { m.handedBack = true })
@@ -264,11 +283,11 @@
 	return append(near, far...)
 }
 
-// fate tells what is certain about the owner of an identifier.
-func (m *membership) fate(owner member.Process, minted time.Duration) member.Fate {
+// liveness tells what is certain about the owner of an identifier.
+func (m *membership) liveness(owner member.Process, minted time.Duration) member.Liveness {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.view.Fate(m.clock.Now(), owner, minted)
+	return m.view.Liveness(m.clock.Now(), owner, minted)
 }
 
 // exchange sends a heartbeat and takes in the one that answers it.
--- /dev/null
+++ b/internal/entry/pause_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/internal/backend"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
+	"github.com/lavendercleat/lavendercleat/sched"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// After a pause of the process a job is admitted, but no task starts before the view
+// is refreshed: the slots may have been given to others meanwhile.
+func TestStartsAreHeldAfterPause(t *testing.T) {
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("1"))
+	}))
+	defer worker.Close()
+	client := backend.NewClient(backend.Config{DialTimeout: time.Second, SilenceTimeout: time.Second, MaxReplyBytes: 1024})
+	defer client.Close()
+	d := newDispatcher(clock.New(), client, NewMetrics(), sched.DefaultConfig())
+	paused := make(chan time.Duration, 1)
+	d.onPause = func(late time.Duration) { paused <- late }
+	d.step(func(now time.Duration) {
+		d.sched.SetWorkers(now, []sched.Worker{{Address: worker.Listener.Addr().String(), Slots: 1}})
+	})
+	d.mu.Lock()
+	d.stepped -= 2 * pauseLimit
+	d.mu.Unlock()
+	ended := make(chan *verdict.Failure, 1)
+	run := &jobRun{
+		path:     "/quote",
+		deadline: d.clock.Now() + time.Minute,
+		payloads: []json.RawMessage{[]byte("1")},
+		results:  make([]json.RawMessage, 1),
+		finish:   func(_ []json.RawMessage, f *verdict.Failure) { ended <- f },
+	}
+	_, refusal := d.submit(sched.Job{Kind: "quote", Tasks: 1, Deadline: run.deadline}, run)
+	assert.Assert(t, refusal == nil)
+	assert.Assert(t, <-paused > pauseLimit)
+	d.tick()
+	assert.Equal(t, d.load().Running, 0)
+	assert.Equal(t, d.load().Waiting, 1)
+	d.release()
+	assert.Assert(t, <-ended == nil)
+}
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -34,6 +34,9 @@
 	metrics    *Metrics
 	// window is the time within which a reserved identifier must be used first.
 	window time.Duration
+	// settle returns the time after an identifier's minting after which its owner
+	// neither starts its job nor tells an answer of it.
+	settle func() time.Duration
 
 	mu sync.Mutex
 	// running maps a running submission to its job.
@@ -53,6 +56,7 @@
 		dispatcher: d,
 		metrics:    e.metrics,
 		window:     e.settings.IdentifierWindow,
+		settle:     e.settle,
 		running:    make(map[string]sched.JobKey),
 	}
 }
@@ -158,8 +162,13 @@
 	s.close(r, e)
 }
 
-// close records an ending.
+// close records an ending. A process that was frozen for very long ends its jobs on
+// waking, when its peers already tell their callers that it is gone for good: it must
+// say the same.
 func (s *submissions) close(r *submission.Record, e submission.Ending) {
+	if s.clock.Now() > r.Minted()+s.settle() {
+		e = failedEnding(r.ID, nil, ownerGone())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.running, r.ID)
--- a/member/fate.go
+++ b/member/liveness.go
@@ -2,22 +2,22 @@
 
 import "time"
 
-// Fate says what is certain about a process that can't be asked.
-type Fate uint8
+// Liveness says what is certain about a process that can't be asked.
+type Liveness uint8
 
 const (
 	// Unknown: it may live, and may still tell an ending.
-	Unknown Fate = iota
+	Unknown Liveness = iota
 	// Replaced: another process runs at its address, so it is dead.
 	Replaced
-	// Settled: by its own clock it no longer starts the job of the identifier asked
+	// Expired: by its own clock it no longer starts the job of the identifier asked
 	// about, nor tells an answer of it.
-	Settled
+	Expired
 )
 
 const (
-	// maxSightings bounds the memory of processes that were heard once.
-	maxSightings = 4096
+	// maxPast bounds the memory of processes that were heard once.
+	maxPast = 4096
 	// clockDrift is the part by which two monotonic clocks may differ in rate; real
 	// ones differ by less than a thousandth of that.
 	clockDrift = 100
@@ -25,8 +25,8 @@
 	clockMargin = 5 * time.Second
 )
 
-// sighting is what was last heard of a process.
-type sighting struct {
+// lastHeard is what was last heard of a process.
+type lastHeard struct {
 	heard  time.Duration
 	clock  time.Duration
 	settle time.Duration
@@ -44,7 +44,7 @@
 	}
 	if !known {
 		v.seen = append(v.seen, process)
-		if len(v.seen) > maxSightings {
+		if len(v.seen) > maxPast {
 			delete(v.past, v.seen[0])
 			v.seen = v.seen[1:]
 		}
@@ -66,25 +66,25 @@
 	}
 }
 
-// Fate tells what is certain about the owner of an identifier minted at a time on the
+// Liveness tells what is certain about the owner of an identifier minted at a time on the
 // owner's clock.
 //
-// Replaced is told only a Timeout after the new process was heard: if the old one
+// Replaced is told only the longer timeout after the new process was heard: if the old one
 // stopped gracefully, every live peer that knows its successor has said so by then.
-// Settled assumes only that the two monotonic clocks run at the same rate within one
+// Expired assumes only that the two monotonic clocks run at the same rate within one
 // part in a hundred.
-func (v *View) Fate(now time.Duration, owner Process, minted time.Duration) Fate {
+func (v *View) Liveness(now time.Duration, owner Process, minted time.Duration) Liveness {
 	s, ok := v.past[owner]
 	if !ok {
 		return Unknown
 	}
-	if s.replaced != 0 && now > s.replaced+v.config.Timeout {
+	if s.replaced != 0 && now > s.replaced+max(v.config.Timeout, v.config.RemoteTimeout) {
 		return Replaced
 	}
 	passed := now - s.heard
 	atLeast := s.clock + passed - passed/clockDrift - clockMargin
 	if s.settle > 0 && atLeast > minted+s.settle {
-		return Settled
+		return Expired
 	}
 	return Unknown
 }
--- a/member/view.go
+++ b/member/view.go
@@ -54,7 +54,7 @@
 	peers      map[netip.AddrPort]*Peer
 	candidates map[netip.AddrPort]string
 	successors map[Process]succession
-	past       map[Process]sighting
+	past       map[Process]lastHeard
 	// seen holds the keys of past, oldest first.
 	seen []Process
 }
@@ -66,7 +66,7 @@
 		peers:      make(map[netip.AddrPort]*Peer),
 		candidates: make(map[netip.AddrPort]string),
 		successors: make(map[Process]succession),
-		past:       make(map[Process]sighting),
+		past:       make(map[Process]lastHeard),
 	}
 }
 
@@ -130,12 +130,22 @@
 // Paused tells that this entry itself stood still for a time: the silence of its
 // peers meanwhile is not theirs. Without this an entry that wakes would count all of
 // them as dead and take all slots for its own.
-func (v *View) Paused(d time.Duration) {
+func (v *View) Paused(now, d time.Duration) {
 	for _, p := range v.peers {
-		p.Heard += d
+		p.Heard = min(p.Heard+d, now)
 	}
 }
 
+// HeardSince tells whether every live peer was heard at a time or later.
+func (v *View) HeardSince(t time.Duration) bool {
+	for _, p := range v.peers {
+		if p.Heard < t {
+			return false
+		}
+	}
+	return true
+}
+
 // Tick drops peers that have been silent too long and tells whether any was.
 func (v *View) Tick(now time.Duration) (changed bool) {
 	v.dropSuccessors(now)
--- a/submission/table.go
+++ b/submission/table.go
@@ -46,6 +46,9 @@
 	keepUntil time.Duration
 }
 
+// Minted returns the time of minting of the identifier, 0 for an adopted record.
+func (r *Record) Minted() time.Duration { return r.minted }
+
 // Done is closed once the submission has ended.
 func (r *Record) Done() <-chan struct{} { return r.done }
 
--- /dev/null
+++ b/test/stop/pause_test.go
@@ -0,0 +1,46 @@
+package stop
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	standinbackend "github.com/lavendercleat/lavendercleat/internal/standin/backend"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+)
+
+// An entry is frozen while tasks wait in its queue. Meanwhile a worker says to the
+// other entry that it is leaving. On waking the entry asks its peers before it starts
+// a task, so the leaving worker gets none, although results from before the freeze
+// come in first and free its slots.
+func TestPausedEntryAsksPeersBeforeStartingTasks(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 2, Slots: 4, RunTime: 500 * time.Millisecond})
+	frozen, other, w := c.Entries[0], c.Entries[1], c.Workers[0]
+	answers := make(chan client.Reply, 1)
+	queued := cluster.Job(cluster.Quote, "queued", 24)
+	queued.DeadlineMs = 30_000
+	go func() {
+		r, _ := frozen.Client(cluster.Token).Submit(t.Context(), queued)
+		answers <- r
+	}()
+	cluster.Eventually(t, 10*time.Second, "tasks run", func() bool { return c.WitnessOf(w).Starts > 0 })
+	frozen.Freeze()
+	c.Behave(w, standinbackend.Behaviour{Mode: standinbackend.Leaving})
+	told := startCallers(t, fixed(other), 8)
+	cluster.Eventually(t, 10*time.Second, "the worker said that it is leaving", func() bool {
+		return other.Metric(t, "lavendercleat_leaving_workers") == 1
+	})
+	told.finish(t)
+	cluster.Eventually(t, 10*time.Second, "the frozen entry counts as dead", func() bool {
+		return other.Metric(t, "lavendercleat_members") == 1
+	})
+	refused := c.WitnessOf(w).Refused
+	frozen.Thaw()
+	r := <-answers
+	assert.Equal(t, r.Outcome, client.Complete, "%s: %s", r.Reason, r.Message)
+	assert.Equal(t, c.WitnessOf(w).Refused, refused, "tasks sent to the leaving worker after waking")
+	assert.Equal(t, frozen.Metric(t, `lavendercleat_pauses_total{noticed_by="tick"}`), 1.0)
+	assert.Equal(t, c.Witness().Doubled, int64(0))
+}
