--- /dev/null
+++ b/config/effects.go
@@ -0,0 +1,180 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Load is what runs in the fleet at the time of a plan, as far as entries answered.
+type Load struct {
+	Running int
+	Waiting int
+	// RunningOn counts the running tasks by worker.
+	RunningOn map[string]int
+	// TeamRates are the task starts per second that each team asks for.
+	TeamRates map[string]int
+	// Unreachable names the entries that did not answer.
+	Unreachable []string
+}
+
+// EffectsOf tells what follows from a change of the document.
+func EffectsOf(before, after *schema.Config, vms []*schema.Vm, load Load) schema.Effects {
+	b, a := NewIndex(before), NewIndex(after)
+	e := schema.Effects{
+		Domains:             domainEffects(b, a, vms),
+		Running:             int64(load.Running),
+		Waiting:             int64(load.Waiting),
+		KindsWithoutWorkers: kindsLeft(b, a, vms),
+	}
+	for _, vm := range vms {
+		if isWorker(vm) && a.Drained(vm) && !b.Drained(vm) {
+			e.RunningThere += int64(load.RunningOn[vm.GetAddress()])
+		}
+	}
+	e.SqueezedTeams = squeezedTeams(before, after, e.Domains, load)
+	e.Warnings = warnings(before, after, vms, load)
+	return e
+}
+
+func isWorker(vm *schema.Vm) bool { return vm.GetRole() == schema.VmRole_VM_ROLE_WORKER }
+
+// domainEffects compares the failure domains of the VM list.
+func domainEffects(before, after *Index, vms []*schema.Vm) []schema.DomainEffect {
+	byName := make(map[string]*schema.DomainEffect)
+	for _, vm := range vms {
+		d := byName[vm.GetDomain()]
+		if d == nil {
+			d = &schema.DomainEffect{Domain: vm.GetDomain()}
+			byName[vm.GetDomain()] = d
+		}
+		if vm.GetLeaving() {
+			continue
+		}
+		count(vm, before, &d.WorkersBefore, &d.SlotsBefore, &d.EntriesBefore)
+		count(vm, after, &d.WorkersAfter, &d.SlotsAfter, &d.EntriesAfter)
+	}
+	list := make([]schema.DomainEffect, 0, len(byName))
+	for _, d := range byName {
+		list = append(list, *d)
+	}
+	slices.SortFunc(list, func(a, b schema.DomainEffect) int { return strings.Compare(a.Domain, b.Domain) })
+	return list
+}
+
+func count(vm *schema.Vm, x *Index, workers, slots, entries *int64) {
+	switch vm.GetRole() {
+	case schema.VmRole_VM_ROLE_WORKER:
+		if !x.Drained(vm) {
+			*workers++
+			*slots += int64(vm.GetSlots())
+		}
+	case schema.VmRole_VM_ROLE_ENTRY:
+		if !x.Retired(vm.GetDomain()) {
+			*entries++
+		}
+	}
+}
+
+// kindsLeft returns the kinds that no worker may run after the change, but for those
+// that the change doesn't touch and that no worker could run before either.
+func kindsLeft(before, after *Index, vms []*schema.Vm) []string {
+	var left []string
+	for name, kind := range after.doc.GetKinds() {
+		old := before.Kind(name)
+		if !hasWorker(after, kind, vms) && (old == nil || hasWorker(before, old, vms)) {
+			left = append(left, name)
+		}
+	}
+	slices.Sort(left)
+	return left
+}
+
+// hasWorker tells whether any worker may get tasks of a kind.
+func hasWorker(x *Index, kind *schema.Kind, vms []*schema.Vm) bool {
+	return slices.ContainsFunc(vms, func(vm *schema.Vm) bool {
+		return isWorker(vm) && !vm.GetLeaving() && !x.Drained(vm) && mayRunIn(kind, vm.GetDomain()) && fits(kind.GetNeeds(), vm.GetResources())
+	})
+}
+
+func mayRunIn(kind *schema.Kind, domain string) bool {
+	return len(kind.GetDomains()) == 0 || slices.Contains(kind.GetDomains(), domain)
+}
+
+func fits(needs, has *schema.Resources) bool {
+	return needs.GetCpus() <= has.GetCpus() && needs.GetMemoryMb() <= has.GetMemoryMb() && needs.GetAccelerators() <= has.GetAccelerators()
+}
+
+// squeezedTeams returns the teams that use more now than they would get.
+func squeezedTeams(before, after *schema.Config, domains []schema.DomainEffect, load Load) []schema.TeamEffect {
+	slots := int64(0)
+	for _, d := range domains {
+		slots += d.SlotsAfter
+	}
+	short := int64(load.Running+load.Waiting) > slots
+	var list []schema.TeamEffect
+	for name, rate := range load.TeamRates {
+		old, team := before.GetTeams()[name], after.GetTeams()[name]
+		quota := int64(team.GetStartsPerSecond())
+		t := schema.TeamEffect{
+			Team: name, StartsPerSecondNow: int64(rate),
+			QuotaBefore: int64(old.GetStartsPerSecond()), QuotaAfter: quota,
+		}
+		switch {
+		case rate == 0:
+			continue
+		case team == nil:
+			t.Why = "the team is removed"
+		case quota > 0 && quota < int64(rate):
+			t.Why = "uses more than the quota"
+		case short:
+			t.Why = fmt.Sprintf("%d tasks run or wait, %d slots are left", load.Running+load.Waiting, slots)
+		default:
+			continue
+		}
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b schema.TeamEffect) int { return strings.Compare(a.Team, b.Team) })
+	return list
+}
+
+// warnings names what is legal but may be a slip.
+func warnings(before, after *schema.Config, vms []*schema.Vm, load Load) []string {
+	workers, racks, domains := listed(vms)
+	var w []string
+	unlisted := func(what string, before, after []string, known map[string]bool) {
+		for _, name := range after {
+			if !known[name] && !slices.Contains(before, name) {
+				w = append(w, fmt.Sprintf("%s %s is not in the VM list", what, name))
+			}
+		}
+	}
+	unlisted("worker", before.GetDrainedWorkers(), after.GetDrainedWorkers(), workers)
+	unlisted("rack", before.GetDrainedRacks(), after.GetDrainedRacks(), racks)
+	unlisted("failure domain", before.GetRetiredDomains(), after.GetRetiredDomains(), domains)
+	for name, k := range after.GetKinds() {
+		unlisted("kind "+name+": failure domain", before.GetKinds()[name].GetDomains(), k.GetDomains(), domains)
+	}
+	if len(vms) == 0 {
+		w = append(w, "the asked entry has no VM list yet; workers and slots are unknown")
+	}
+	if len(load.Unreachable) > 0 {
+		w = append(w, "no answer about work in flight from "+strings.Join(load.Unreachable, ", "))
+	}
+	slices.Sort(w)
+	return w
+}
+
+func listed(vms []*schema.Vm) (workers, racks, domains map[string]bool) {
+	workers, racks, domains = make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	for _, vm := range vms {
+		domains[vm.GetDomain()] = true
+		if isWorker(vm) {
+			workers[vm.GetAddress()] = true
+			racks[RackName(vm)] = true
+		}
+	}
+	return workers, racks, domains
+}
--- /dev/null
+++ b/config/plan.go
@@ -0,0 +1,194 @@
+package config
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Reason names why a plan was not applied.
+type Reason string
+
+// Reasons of plans that were not applied.
+const (
+	// BadIntent: the intent can't be carried out on this document.
+	BadIntent Reason = "bad_intent"
+	// BadPlan: identifier and contents of a confirmation don't belong together.
+	BadPlan Reason = "bad_plan"
+	// BaseMoved: another plan was applied since this one was made.
+	BaseMoved Reason = "base_moved"
+	// NowhereToRun: a kind or the fleet would be left without workers or entries.
+	NowhereToRun Reason = "nowhere_to_run"
+	// PlatformOlder: the platform's document is older than the one in force.
+	PlatformOlder Reason = "platform_older"
+	// EntryBehind: the asked entry does not have the newest revision yet.
+	EntryBehind Reason = "entry_behind"
+	// Unreadable: the platform's document can't be decoded.
+	Unreadable Reason = "unreadable"
+	// PlatformUnavailable: the platform's service gave no answer.
+	PlatformUnavailable Reason = "platform_unavailable"
+)
+
+// Outcomes of a confirmation.
+const (
+	Applied = "applied"
+	Refused = "refused"
+	// Unknown: a write was sent and no answer tells whether it took effect.
+	Unknown = "unknown"
+)
+
+// MaxRecentPlans bounds the document's history.
+const MaxRecentPlans = 64
+
+const (
+	nonceBytes  = 8
+	planIDBytes = 12
+)
+
+// Refusal says why a plan is not applied.
+type Refusal struct {
+	Reason  Reason
+	Message string
+	// Moved holds the plans applied since the base revision, for BaseMoved.
+	Moved []schema.HistoryEntry
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Reason, r.Message) }
+
+func refuse(r Reason, format string, args ...any) *Refusal {
+	return &Refusal{Reason: r, Message: fmt.Sprintf(format, args...)}
+}
+
+// NewNonce returns the random part of a plan's identifier.
+func NewNonce() string {
+	b := make([]byte, nonceBytes)
+	rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// PlanID identifies a plan by what it is. The nonce tells apart two plans of the same
+// intent on the same base, so that one operator's confirmation is never taken for
+// the other's.
+func PlanID(i schema.Intent, base uint64, nonce string) string {
+	b, _ := json.Marshal(schema.Confirmation{BaseRevision: base, Nonce: nonce, Intent: i}) // plain fields always encode
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:planIDBytes])
+}
+
+// Step is a document with the one that an intent makes of it.
+type Step struct {
+	Before *schema.Config
+	After  *schema.Config
+}
+
+// Next returns the step from base by the intent; its document has the next revision.
+func Next(base *schema.Config, i schema.Intent) (*Step, *Refusal) {
+	after, err := Apply(base, i)
+	if err == nil {
+		err = Validate(after)
+	}
+	if err != nil {
+		return nil, refuse(BadIntent, "%v", err)
+	}
+	// A first document may bring a revision of its own, see Init.
+	after.Revision = max(base.GetRevision(), after.GetRevision()) + 1
+	s := &Step{Before: base, After: after}
+	if Action(i.Action) != Restore && len(Diff(base, after)) == 0 {
+		return nil, refuse(BadIntent, "nothing would change")
+	}
+	return s, nil
+}
+
+// CheckEffects refuses a change that leaves work with nowhere to run, unless forced.
+func CheckEffects(e schema.Effects, i schema.Intent) *Refusal {
+	if i.Force {
+		return nil
+	}
+	if len(e.KindsWithoutWorkers) > 0 {
+		return refuse(NowhereToRun, "no worker would be left for: %s; add --force to do it all the same", strings.Join(e.KindsWithoutWorkers, ", "))
+	}
+	before, after := int64(0), int64(0)
+	for _, d := range e.Domains {
+		before += d.EntriesBefore
+		after += d.EntriesAfter
+	}
+	if before > 0 && after == 0 {
+		return refuse(NowhereToRun, "no entry would accept new work; add --force to do it all the same")
+	}
+	return nil
+}
+
+// Record adds an applied plan to the step's document.
+func (s *Step) Record(id, operator string, i schema.Intent, unixMS int64) {
+	plans := append(s.After.GetRecentPlans(), &schema.AppliedPlan{
+		Id: id, Revision: s.After.GetRevision(), Operator: operator, Intent: Describe(i), ConfirmedUnixMs: unixMS,
+	})
+	if over := len(plans) - MaxRecentPlans; over > 0 {
+		plans = plans[over:]
+	}
+	s.After.RecentPlans = plans
+}
+
+// CheckConfirmation refuses a confirmation whose identifier is not that of its
+// contents.
+func CheckConfirmation(c schema.Confirmation) *Refusal {
+	if c.Nonce == "" || PlanID(c.Intent, c.BaseRevision, c.Nonce) != c.Id {
+		return refuse(BadPlan, "identifier and contents of the plan don't belong together; plan again")
+	}
+	return nil
+}
+
+// FindPlan returns the record of an applied plan, nil when the document has none.
+func FindPlan(c *schema.Config, id string) *schema.AppliedPlan {
+	for _, p := range c.GetRecentPlans() {
+		if p.GetId() == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// CheckBase refuses a plan whose base is not the document's revision and says what
+// was applied in between.
+func CheckBase(c *schema.Config, base uint64) *Refusal {
+	if c.GetRevision() == base {
+		return nil
+	}
+	r := refuse(BaseMoved, "the plan was made for revision %d and revision %d is in force; plan again", base, c.GetRevision())
+	for _, h := range HistoryOf(c).Plans {
+		if h.Revision > base {
+			r.Moved = append(r.Moved, h)
+		}
+	}
+	if missing := c.GetRevision() - base; c.GetRevision() > base && uint64(len(r.Moved)) < missing {
+		r.Message += fmt.Sprintf(" (%d changes in between, the last %d are known)", missing, len(r.Moved))
+	}
+	return r
+}
+
+// HistoryOf returns the document's recent plans.
+func HistoryOf(c *schema.Config) schema.History {
+	h := schema.History{Revision: c.GetRevision(), Plans: []schema.HistoryEntry{}}
+	for _, p := range c.GetRecentPlans() {
+		h.Plans = append(h.Plans, schema.HistoryEntry{
+			Plan: p.GetId(), Revision: p.GetRevision(), Operator: p.GetOperator(),
+			Intent: p.GetIntent(), ConfirmedUnixMs: p.GetConfirmedUnixMs(),
+		})
+	}
+	return h
+}
+
+// Fork tells whether two documents of one revision were made by different plans,
+// which happens when a platform comes back older and is changed before the entries
+// that know better can tell.
+func Fork(a, b *schema.Config) bool {
+	return a.GetRevision() == b.GetRevision() && !proto.Equal(a, b)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/alecthomas/kong"
 
@@ -24,16 +25,22 @@
 type commands struct {
 	schema.LogSettings
 
-	Entry   entryCommand   `cmd:"" help:"Run the daemon of an entry VM."`
-	Dev     devCommand     `cmd:"" help:"Run an entry, a stand-in platform and stand-in backend servers in one process."`
-	Submit  submitCommand  `cmd:"" help:"Submit a job and print its answer."`
-	Status  statusCommand  `cmd:"" help:"Show the state of an entry."`
-	Load    loadCommand    `cmd:"" help:"Measure entries under load."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in of an outside system, for tests."`
+	Entry     entryCommand     `cmd:"" help:"Run the daemon of an entry VM."`
+	Dev       devCommand       `cmd:"" help:"Run an entry, a stand-in platform and stand-in backend servers in one process."`
+	Submit    submitCommand    `cmd:"" help:"Submit a job and print its answer."`
+	Plan      planCommand      `cmd:"" help:"Show what an intent would change; nothing changes."`
+	Confirm   confirmCommand   `cmd:"" help:"Carry out a plan."`
+	Status    statusCommand    `cmd:"" help:"Show the state of all entries."`
+	History   historyCommand   `cmd:"" help:"List the recent plans."`
+	Export    exportCommand    `cmd:"" help:"Print the configuration in force."`
+	HashToken hashTokenCommand `cmd:"" help:"Print the hash of a token read from the standard input."`
+	Load      loadCommand      `cmd:"" help:"Measure entries under load."`
+	Standin   standinCommand   `cmd:"" help:"Run a stand-in of an outside system, for tests."`
 }
 
-// streams are the command's outputs.
+// streams are the command's input and outputs.
 type streams struct {
+	in  io.Reader
 	out io.Writer
 	err io.Writer
 }
@@ -57,7 +64,7 @@
 		fmt.Fprintln(errOut, "lavendercleat --help lists the commands, lavendercleat COMMAND --help its settings")
 		return exitUsage
 	}
-	if err := ctx.Run(&streams{out: out, err: errOut}, &c.LogSettings); err != nil {
+	if err := ctx.Run(&streams{in: os.Stdin, out: out, err: errOut}, &c.LogSettings); err != nil {
 		fmt.Fprintln(errOut, "lavendercleat:", err)
 		return exitFailure
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -1,35 +1,24 @@
 package cli
 
 import (
-	"context"
-	"io"
 	"net/http"
-	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/lavendercleat/lavendercleat/schema"
 )
 
-// statusCommand shows the state of an entry.
+// statusCommand shows the state of all entries as one of them sees it.
 type statusCommand struct {
-	URL string `help:"URL of an entry's operator interface." env:"LAVENDERCLEAT_OPERATOR_URL" default:"http://127.0.0.1:7401"`
+	operatorFlags
 }
 
-// Validate checks the settings.
-func (c *statusCommand) Validate() error { return checkURL("url", c.URL) }
-
-// Run prints the entry's state.
+// Run prints the state.
 func (c *statusCommand) Run(s *streams) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL+"/v1/status", nil)
-	if err != nil {
+	var f schema.FleetStatus
+	if err := c.call(http.MethodGet, "/v1/status", nil, &f); err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "asking the entry")
+	if c.JSON {
+		return printJSON(s.out, f)
 	}
-	defer resp.Body.Close()
-	_, err = io.Copy(s.out, resp.Body)
-	return err
+	return printStatus(s.out, f)
 }
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -152,6 +152,13 @@
 	return d.sched.Load(d.clock.Now())
 }
 
+// runningOn counts the running tasks by worker.
+func (d *dispatcher) runningOn() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.RunningOn()
+}
+
 // step runs one event under the lock and carries out the commands that follow.
 func (d *dispatcher) step(event func(now time.Duration)) {
 	d.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	members  *membership
 	router   *router
 	callers  *callers
+	operator *operators
 	syncer   *syncer
 	peers    *peers
 	backend  *backend.Client
@@ -112,7 +113,7 @@
 	d := newDispatcher(e.clock, e.backend, e.metrics, e.sched)
 	process := member.Process{Address: self, Incarnation: minter.Incarnation()}
 	e.syncer = &syncer{
-		state: e.state, platform: e.platform, client: e.client, log: e.log, metrics: e.metrics,
+		state: e.state, platform: e.platform, client: e.client, clock: e.clock, log: e.log, metrics: e.metrics,
 		watchWait: e.settings.PlatformWatchWait,
 	}
 	e.members = e.newMembership(process)
@@ -133,6 +134,7 @@
 	e.peers = &peers{
 		router: e.router, members: e.members, syncer: e.syncer, loans: e.loans, handover: e.handover, status: e.Status,
 	}
+	e.operator = e.operatorInterface()
 	d.onLeaving = func(worker string) { e.workers.markLeaving(worker) }
 	d.onPause = e.paused
 	e.state.subscribe(e.refresh)
@@ -237,6 +239,8 @@
 	e.metrics.gauge("members", func() float64 { return float64(len(e.members.members())) })
 	e.metrics.gauge("leaving_workers", func() float64 { return float64(len(e.workers.leavingList())) })
 	e.metrics.gauge("config_revision", func() float64 { return float64(e.state.config().Revision()) })
+	e.metrics.gauge("platform_config_revision", func() float64 { return float64(e.syncer.platformRevision()) })
+	e.metrics.gauge("alarms", func() float64 { return float64(len(e.alarms())) })
 	e.metrics.gauge("submissions", func() float64 { return float64(e.router.submissions.table.Len()) })
 	e.publishTraffic()
 	e.metrics.gauge("answer_bytes", func() float64 { return float64(e.router.submissions.table.Bytes()) })
@@ -276,6 +280,15 @@
 // Ready tells whether the entry takes new work.
 func (e *Entry) Ready() bool { return e.notReady() == nil }
 
+// alarms returns what an operator has to look at.
+func (e *Entry) alarms() []string {
+	list := e.syncer.alarms()
+	if e.state.config().Retired(e.settings.Domain) {
+		list = append(list, AlarmDomainRetired+": failure domain "+e.settings.Domain+" is retired; this entry takes no new work")
+	}
+	return list
+}
+
 // Status describes the entry.
 func (e *Entry) Status() *schema.StatusReply {
 	load := e.workers.dispatcher.load()
@@ -289,6 +302,10 @@
 		Slots:         uint32(load.Slots),
 		Ready:         true,
 	}
+	s.Alarms = e.alarms()
+	for worker, n := range e.workers.dispatcher.runningOn() {
+		s.RunningOn = append(s.RunningOn, &schema.WorkerSlots{Worker: worker, Slots: uint32(n)})
+	}
 	s.ConfigRevision = e.state.config().Revision()
 	if f := e.notReady(); f != nil {
 		s.Ready = false
--- /dev/null
+++ b/internal/entry/fleet.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/internal/peer"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// statusTimeout bounds the wait for the entries' own status.
+const statusTimeout = 2 * time.Second
+
+// fleet asks all entries about themselves.
+type fleet struct {
+	members *membership
+	client  *peer.Client
+	metrics *Metrics
+	syncer  *syncer
+	// self describes this entry.
+	self func() *schema.StatusReply
+}
+
+// ask returns the status of every entry that answers in time, this one included,
+// and the addresses of the others.
+func (f *fleet) ask(ctx context.Context) (replies []*schema.StatusReply, unreachable []string) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	replies = append(replies, f.self())
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, a := range f.members.candidates() {
+		wg.Go(func() {
+			reply := f.askOne(ctx, a)
+			mu.Lock()
+			defer mu.Unlock()
+			if reply == nil {
+				unreachable = append(unreachable, a.String())
+				return
+			}
+			replies = append(replies, reply)
+		})
+	}
+	wg.Wait()
+	slices.SortFunc(replies, func(a, b *schema.StatusReply) int {
+		return strings.Compare(a.GetDomain()+a.GetAddress(), b.GetDomain()+b.GetAddress())
+	})
+	slices.Sort(unreachable)
+	return replies, unreachable
+}
+
+// askOne returns a peer's status, nil when there is no answer.
+func (f *fleet) askOne(ctx context.Context, a netip.AddrPort) *schema.StatusReply {
+	f.metrics.message("status")
+	reply, failure := f.client.Call(ctx, a, &schema.Request{Body: &schema.Request_Status{Status: &schema.StatusRequest{}}})
+	if failure != nil {
+		return nil
+	}
+	return reply.GetStatus()
+}
+
+// status describes all entries.
+func (f *fleet) status(ctx context.Context) schema.FleetStatus {
+	replies, unreachable := f.ask(ctx)
+	out := schema.FleetStatus{PlatformRevision: f.syncer.platformRevision(), Unreachable: unreachable}
+	for _, r := range replies {
+		out.Revision = max(out.Revision, r.GetConfigRevision())
+		out.Entries = append(out.Entries, schema.EntryStatus{
+			Address: r.GetAddress(), Domain: r.GetDomain(),
+			ConfigRevision: r.GetConfigRevision(), VmListVersion: r.GetVmListVersion(),
+			RunningTasks: int64(r.GetRunningTasks()), WaitingTasks: int64(r.GetWaitingTasks()), Slots: int64(r.GetSlots()),
+			Ready: r.GetReady(), NotReadyBecause: r.GetNotReadyBecause(), Alarms: r.GetAlarms(),
+		})
+	}
+	return out
+}
+
+// load adds up what runs in the fleet.
+func (f *fleet) load(ctx context.Context) config.Load {
+	replies, unreachable := f.ask(ctx)
+	l := config.Load{RunningOn: make(map[string]int), TeamRates: make(map[string]int), Unreachable: unreachable}
+	for _, r := range replies {
+		l.Running += int(r.GetRunningTasks())
+		l.Waiting += int(r.GetWaitingTasks())
+		for _, w := range r.GetRunningOn() {
+			l.RunningOn[w.GetWorker()] += int(w.GetSlots())
+		}
+		for team, rate := range r.GetTeamRates() {
+			l.TeamRates[team] += int(rate)
+		}
+	}
+	return l
+}
+
+// candidates returns the addresses of all known entries but this one.
+func (m *membership) candidates() []netip.AddrPort {
+	var all []netip.AddrPort
+	m.with(func(v *member.View) { all = v.Candidates() })
+	return all
+}
+
+// newestConfig returns the highest revision that a live peer has in force.
+func (m *membership) newestConfig() uint64 {
+	newest := uint64(0)
+	m.with(func(v *member.View) {
+		for _, p := range v.Live("") {
+			newest = max(newest, p.ConfigRevision)
+		}
+	})
+	return newest
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,15 +1,184 @@
 package entry
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/gin-gonic/gin"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+const (
+	// maxOperatorBody bounds a plan or a confirmation: a document of the largest size
+	// in JSON.
+	maxOperatorBody = 8 << 20
+	// operatorKey is the key of the operator's name in gin's context.
+	operatorKey = "operator"
 )
 
 // operators is the operator interface.
-func (e *Entry) operators() http.Handler {
+type operators struct {
+	// names holds the operators' names by the hash of their token.
+	names   map[string]string
+	state   *state
+	planner *planner
+	fleet   *fleet
+}
+
+// operatorNames returns the operators' names by token hash; the setting was checked.
+func operatorNames(list []string) map[string]string {
+	names := make(map[string]string, len(list))
+	for _, s := range list {
+		name, hash, _ := strings.Cut(s, ":")
+		names[hash] = name
+	}
+	return names
+}
+
+// handler returns the HTTP handler.
+func (o *operators) handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
-	g.GET("/v1/status", func(c *gin.Context) { c.JSON(http.StatusOK, e.Status()) })
+	g.Use(o.authenticate)
+	g.POST("/v1/plans", o.plan)
+	g.POST("/v1/confirmations", o.confirm)
+	g.GET("/v1/status", o.status)
+	g.GET("/v1/history", o.history)
+	g.GET("/v1/config", o.export)
 	return g
 }
+
+// authenticate finds the operator by the bearer token.
+func (o *operators) authenticate(c *gin.Context) {
+	token, ok := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
+	if name, known := o.names[config.HashToken(token)]; ok && known {
+		c.Set(operatorKey, name)
+		return
+	}
+	c.AbortWithStatusJSON(http.StatusUnauthorized, schema.Outcome{
+		Outcome: config.Refused, Reason: "unauthorized",
+		Message: "send an operator's token as Authorization: Bearer TOKEN; operators are set by --operators of the entry",
+	})
+}
+
+func (o *operators) plan(c *gin.Context) {
+	var i schema.Intent
+	if !readOperator(c, &i) {
+		return
+	}
+	plan, refusal := o.planner.plan(c.Request.Context(), c.GetString(operatorKey), i)
+	if refusal != nil {
+		sendOutcome(c, refused(refusal))
+		return
+	}
+	c.JSON(http.StatusOK, plan)
+}
+
+func (o *operators) confirm(c *gin.Context) {
+	var plan schema.Confirmation
+	if readOperator(c, &plan) {
+		sendOutcome(c, o.planner.confirm(c.Request.Context(), c.GetString(operatorKey), plan))
+	}
+}
+
+// readOperator reads a request of an operator.
+func readOperator(c *gin.Context, into any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, maxOperatorBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		sendOutcome(c, refused(&config.Refusal{Reason: config.BadPlan, Message: fmt.Sprintf("the body can't be read: %v", err)}))
+		return false
+	}
+	return true
+}
+
+func (o *operators) status(c *gin.Context) {
+	c.JSON(http.StatusOK, o.fleet.status(c.Request.Context()))
+}
+
+func (o *operators) history(c *gin.Context) {
+	c.JSON(http.StatusOK, config.HistoryOf(o.state.config().Document()))
+}
+
+// export sends the document in force, which init accepts.
+func (o *operators) export(c *gin.Context) {
+	b, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true}.Marshal(o.state.config().Document())
+	if err != nil {
+		_ = c.AbortWithError(http.StatusInternalServerError, err)
+		return
+	}
+	c.Data(http.StatusOK, "application/json", append(b, '\n'))
+}
+
+// outcomeStatuses gives the HTTP status of the reasons why a plan is not applied.
+var outcomeStatuses = map[config.Reason]int{
+	config.BadIntent:           http.StatusBadRequest,
+	config.BadPlan:             http.StatusBadRequest,
+	config.BaseMoved:           http.StatusConflict,
+	config.NowhereToRun:        http.StatusConflict,
+	config.PlatformOlder:       http.StatusConflict,
+	config.Unreadable:          http.StatusConflict,
+	config.EntryBehind:         http.StatusServiceUnavailable,
+	config.PlatformUnavailable: http.StatusServiceUnavailable,
+}
+
+func sendOutcome(c *gin.Context, out schema.Outcome) {
+	status := http.StatusOK
+	switch out.Outcome {
+	case config.Refused:
+		status = outcomeStatuses[config.Reason(out.Reason)]
+	case config.Unknown:
+		status = http.StatusGatewayTimeout
+	}
+	c.JSON(status, out)
+}
+
+func refused(r *config.Refusal) schema.Outcome {
+	out := schema.Outcome{Outcome: config.Refused, Reason: string(r.Reason), Message: r.Message, Moved: r.Moved}
+	if r.Reason == config.PlatformUnavailable || r.Reason == config.EntryBehind {
+		out.RetryAfterMs = operatorRetryAfter.Milliseconds()
+	}
+	return out
+}
+
+func applied(rec *schema.AppliedPlan, earlier bool) schema.Outcome {
+	out := schema.Outcome{
+		Outcome: config.Applied, Revision: rec.GetRevision(), Earlier: earlier,
+		Message: fmt.Sprintf("applied as revision %d", rec.GetRevision()),
+	}
+	if earlier {
+		out.Message = fmt.Sprintf("was applied before, as revision %d by %s; it was not applied again", rec.GetRevision(), rec.GetOperator())
+	}
+	return out
+}
+
+func unknown() schema.Outcome {
+	return schema.Outcome{
+		Outcome: config.Unknown, Reason: string(config.PlatformUnavailable),
+		Message: "a write was sent and the platform's service gave no answer: the plan may have been applied, or may yet be. " +
+			"Confirm the same plan again once the platform answers: it is applied at most once, and the answer says whether it was",
+		RetryAfterMs: operatorRetryAfter.Milliseconds(),
+	}
+}
+
+// operatorInterface puts the operator interface together.
+func (e *Entry) operatorInterface() *operators {
+	f := &fleet{members: e.members, client: e.client, metrics: e.metrics, syncer: e.syncer, self: e.Status}
+	return &operators{
+		names: operatorNames(e.settings.Operators),
+		state: e.state,
+		fleet: f,
+		planner: &planner{
+			state: e.state, platform: e.platform, syncer: e.syncer, log: e.log, metrics: e.metrics,
+			newestPeer: e.members.newestConfig,
+			load:       f.load,
+			announce:   func() { go e.members.beat(context.Background(), nil) },
+		},
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -81,7 +81,7 @@
 		return errors.Wrap(err, "--caller-address")
 	}
 	e.servers.callerHTTP = e.servers.http[0]
-	if e.servers.operator, err = e.serveHTTP(e.settings.OperatorAddress, e.operators()); err != nil {
+	if e.servers.operator, err = e.serveHTTP(e.settings.OperatorAddress, e.operator.handler()); err != nil {
 		return errors.Wrap(err, "--operator-address")
 	}
 	if e.servers.metrics, err = e.serveHTTP(e.settings.MetricsAddress, e.monitor()); err != nil {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/hex"
 	"net/netip"
 	"net/url"
 	"strings"
@@ -9,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lavendercleat/lavendercleat/config"
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
@@ -100,8 +100,7 @@
 	holders := make(map[string]bool)
 	for _, o := range c.Operators {
 		name, hash, ok := strings.Cut(o, ":")
-		b, err := hex.DecodeString(hash)
-		if !ok || name == "" || err != nil || len(b) != 32 || hash != strings.ToLower(hash) {
+		if !ok || name == "" || !config.IsTokenHash(hash) {
 			return errors.Newf("--operators has %q; accepted are name:hash with the token's SHA-256 in 64 lower-case hexadecimal digits, separated by commas", o)
 		}
 		if holders[name] || holders[hash] {
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/internal/peer"
 	"github.com/lavendercleat/lavendercleat/internal/platform"
 	"github.com/lavendercleat/lavendercleat/schema"
@@ -17,16 +22,37 @@
 // ConfigKey is the key of the configuration document in the platform's service.
 const ConfigKey = "lavendercleat-config"
 
+// fetchTimeout bounds one request for a peer's state.
+const fetchTimeout = 2 * time.Second
+
 // syncer keeps the state fresh: by watches on the platform's service, and from
 // peers that have something newer.
 type syncer struct {
 	state    *state
 	platform *platform.Client
 	client   *peer.Client
+	clock    *clock.Clock
 	log      logrus.FieldLogger
 	metrics  *Metrics
 	// watchWait is the longest wait of one watch.
 	watchWait time.Duration
+	// fetching is set while a peer is asked, so that the heartbeats of many peers with
+	// the same news cause one transfer.
+	fetching atomic.Bool
+
+	mu   sync.Mutex
+	seen platformView
+}
+
+// platformView is what the last calls of the platform's service showed.
+type platformView struct {
+	// doc is the document last read; empty when there was none, nil before the first
+	// answer.
+	doc *schema.Config
+	// ignored says why that document is not obeyed; empty when it is.
+	ignored string
+	// failing holds since when each kind of call has failed.
+	failing map[string]time.Duration
 }
 
 // watch calls once again and again until the context ends; once makes one watch and
@@ -36,47 +62,146 @@
 	for ctx.Err() == nil {
 		begin := time.Now()
 		news, err := once()
-		if err != nil && ctx.Err() == nil {
+		switch {
+		case err == nil:
+			s.answered(what)
+		case ctx.Err() == nil:
 			s.failed(what, err)
 		}
 		sleep(ctx, p.after(news, err == nil && time.Since(begin) >= s.watchWait/2))
 	}
 }
 
-// failed tells of a watch that failed.
-func (s *syncer) failed(what string, err error) {
-	if errors.Is(err, platform.ErrNotFound) {
-		return
+// failed notes a watch that failed. A stretch of failures is one event.
+func (s *syncer) failed(call string, err error) {
+	s.metrics.count("platform_failures", "call", call)
+	s.mu.Lock()
+	if s.seen.failing == nil {
+		s.seen.failing = make(map[string]time.Duration)
+	}
+	_, known := s.seen.failing[call]
+	if !known {
+		s.seen.failing[call] = s.clock.Now()
+	}
+	s.mu.Unlock()
+	if !known {
+		s.log.WithFields(logrus.Fields{"event": "platform_unavailable", "call": call}).WithError(err).Warn("platform unavailable")
+	}
+}
+
+// answered notes a call that was answered.
+func (s *syncer) answered(call string) {
+	s.mu.Lock()
+	since, failing := s.seen.failing[call]
+	delete(s.seen.failing, call)
+	s.mu.Unlock()
+	if failing {
+		s.log.WithFields(logrus.Fields{"event": "platform_back", "call": call, "after": s.clock.Now() - since}).Info("platform answers again")
 	}
-	s.metrics.count("platform_failures", "call", what)
-	s.log.WithFields(logrus.Fields{"event": "platform_unavailable", "call": what}).WithError(err).Warn("platform unavailable")
 }
 
 // watchConfig follows the configuration document until the context ends.
+//
+// After a failed call the key is read afresh instead of waited for: a platform that
+// came back from an old copy counts its writes again, so the revision waited for may
+// by then stand for another document.
 func (s *syncer) watchConfig(ctx context.Context) {
 	var revision uint64
+	fresh := true
 	s.watch(ctx, "config", func() (bool, error) {
-		v, ok, err := s.platform.Watch(ctx, ConfigKey, revision, s.watchWait)
+		before := s.state.config().Revision()
+		v, news, err := s.nextConfig(ctx, revision, fresh)
 		if err != nil {
+			fresh = true
 			return false, err
 		}
 		revision = v.Revision
-		return ok && len(v.Value) > 0 && s.takeConfig(v.Value), nil
+		news = news || fresh
+		if news {
+			s.takeConfig(v.Value)
+		}
+		fresh = s.compare(before)
+		return news, nil
 	})
 }
 
-// takeConfig puts a document from the platform in force, if it is newer.
-func (s *syncer) takeConfig(b []byte) bool {
-	var c schema.Config
-	if err := proto.Unmarshal(b, &c); err != nil {
-		s.log.WithField("event", "config_unreadable").WithError(err).Error("configuration in the platform can't be read")
-		return false
+// nextConfig reads the key, or waits until its revision differs. A key without a
+// value has revision 0.
+func (s *syncer) nextConfig(ctx context.Context, revision uint64, fresh bool) (v platform.Value, news bool, err error) {
+	if fresh {
+		v, err = s.platform.Get(ctx, ConfigKey)
+	} else {
+		v, news, err = s.platform.Watch(ctx, ConfigKey, revision, s.watchWait)
 	}
-	if !s.state.offerConfig(&c) {
-		return false
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Value{}, revision != 0, nil
 	}
-	s.log.WithFields(logrus.Fields{"event": "config_in_force", "revision": c.GetRevision(), "from": "platform"}).Info("configuration in force")
-	return true
+	return v, news, err
+}
+
+// takeConfig puts a document from the platform in force if it is newer.
+func (s *syncer) takeConfig(b []byte) {
+	c := new(schema.Config)
+	if err := proto.Unmarshal(b, c); err != nil {
+		s.mu.Lock()
+		s.seen.doc = nil
+		s.mu.Unlock()
+		return
+	}
+	if s.state.offerConfig(c) {
+		s.logInForce(c, "platform")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen.doc = c
+}
+
+// compare reports a platform whose document is not the one in force. The revision
+// that was in force before the read is what the platform must have held: while the
+// answer was under way a peer may have brought a newer one. Then the key has to be
+// read again, which compare tells.
+func (s *syncer) compare(before uint64) (again bool) {
+	have := s.state.config().Document()
+	s.mu.Lock()
+	seen := s.seen.doc
+	s.mu.Unlock()
+	switch {
+	case seen == nil:
+		s.ignore(nil, "unreadable", "the platform's document can't be decoded")
+	case seen.GetRevision() < before:
+		s.ignore(seen, "older", "the platform's document is older than the one in force")
+	case seen.GetRevision() < have.GetRevision():
+		return true
+	case config.Fork(seen, have):
+		s.ignore(seen, "forked", "the platform's document has the revision in force but another content")
+	default:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.seen.ignored = ""
+	}
+	return false
+}
+
+// ignore reports once a document of the platform that is not obeyed. Obeying an older
+// one would undo what was confirmed to an operator, and a drained worker would get
+// work again; the operator decides, by a plan to restore.
+func (s *syncer) ignore(c *schema.Config, why, message string) {
+	s.mu.Lock()
+	message = fmt.Sprintf("%s (revision %d)", message, c.GetRevision())
+	known := s.seen.ignored == message
+	s.seen.ignored = message
+	s.mu.Unlock()
+	if known {
+		return
+	}
+	s.metrics.count("config_ignored", "reason", why)
+	s.log.WithFields(logrus.Fields{
+		"event": "config_ignored", "reason": why, "revision": c.GetRevision(), "in_force": s.state.config().Revision(),
+	}).Error(message)
+}
+
+func (s *syncer) logInForce(c *schema.Config, from string) {
+	s.log.WithFields(logrus.Fields{"event": "config_in_force", "revision": c.GetRevision(), "from": from}).Info("configuration in force")
 }
 
 // watchVMs follows the VM list until the context ends. It waits for a change of what
@@ -108,6 +233,34 @@
 	return false
 }
 
+// platformRevision returns the revision of the platform's document as last read.
+func (s *syncer) platformRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen.doc.GetRevision()
+}
+
+// alarms returns what an operator has to know about the platform.
+func (s *syncer) alarms() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	if len(s.seen.failing) > 0 {
+		list = append(list, AlarmPlatformUnavailable+": the platform's service gives no answer; the configuration in force stays")
+	}
+	if s.seen.ignored != "" {
+		list = append(list, AlarmConfigIgnored+": "+s.seen.ignored+"; plan restore")
+	}
+	return list
+}
+
+// Names of alarms, the first word of an alarm in the status.
+const (
+	AlarmPlatformUnavailable = "platform_unavailable"
+	AlarmConfigIgnored       = "config_ignored"
+	AlarmDomainRetired       = "domain_retired"
+)
+
 // peerAhead fetches what a peer has newer than this entry.
 func (s *syncer) peerAhead(ctx context.Context, h *schema.Heartbeat) {
 	have := s.state.config().Revision()
@@ -116,10 +269,11 @@
 		return
 	}
 	from, err := netip.ParseAddrPort(h.GetAddress())
-	if err != nil {
+	if err != nil || !s.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer s.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	s.metrics.message("state")
 	reply, failure := s.client.Call(ctx, from, &schema.Request{Body: &schema.Request_State{
@@ -129,7 +283,7 @@
 		return
 	}
 	if c := reply.GetState().GetConfig(); c != nil && s.state.offerConfig(c) {
-		s.log.WithFields(logrus.Fields{"event": "config_in_force", "revision": c.GetRevision(), "from": from}).Info("configuration in force")
+		s.logInForce(c, from.String())
 	}
 	if l := reply.GetState().GetVms(); l != nil {
 		s.state.offerVMs(l)
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -10,5 +10,5 @@
   schema/options.proto schema/config.proto schema/peer.proto
 go build -o "$bin/protoc-gen-plain" ./internal/tools/protoc-gen-plain
 protoc -I. --plugin="$bin/protoc-gen-plain" --plain_out=. --plain_opt=module=github.com/lavendercleat/lavendercleat \
-  schema/caller.proto schema/load.proto schema/settings.proto
+  schema/caller.proto schema/load.proto schema/operator.proto schema/settings.proto
 gofmt -w schema/*.go
--- a/test/cluster/platform.go
+++ b/test/cluster/platform.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -43,3 +44,31 @@
 	c.check(err)
 	c.Post(fmt.Sprintf("%s/admin/vms?version=%d", c.PlatformURL, version), b)
 }
+
+// StoredConfig returns the platform's document and its key's revision; nil when there
+// is none.
+func (c *Cluster) StoredConfig() (*schema.Config, platform.Value) {
+	c.t.Helper()
+	p := platform.NewClient(c.PlatformURL)
+	defer p.Close()
+	v, err := p.Get(c.t.Context(), entry.ConfigKey)
+	if err != nil {
+		return nil, v
+	}
+	doc := new(schema.Config)
+	c.check(proto.Unmarshal(v.Value, doc))
+	return doc, v
+}
+
+// RestoreStored overwrites the platform's document, as a store does that comes back
+// from an old copy.
+func (c *Cluster) RestoreStored(v platform.Value) {
+	c.t.Helper()
+	b, err := json.Marshal(v)
+	c.check(err)
+	req, err := http.NewRequest(http.MethodPut, c.PlatformURL+"/admin/keys/"+entry.ConfigKey, bytes.NewReader(b))
+	c.check(err)
+	resp, err := http.DefaultClient.Do(req)
+	c.check(err)
+	c.check(resp.Body.Close())
+}
