--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -159,6 +159,13 @@
 	return d.sched.RunningOn()
 }
 
+// kindDemand counts the running and waiting tasks by kind.
+func (d *dispatcher) kindDemand() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sched.KindDemand()
+}
+
 // step runs one event under the lock and carries out the commands that follow.
 func (d *dispatcher) step(event func(now time.Duration)) {
 	d.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,7 @@
 	router   *router
 	callers  *callers
 	operator *operators
+	quotas   *quotas
 	syncer   *syncer
 	peers    *peers
 	backend  *backend.Client
@@ -123,6 +124,7 @@
 	}
 	e.loans = &loans{self: process, client: e.client, members: e.members, dispatcher: d, metrics: e.metrics}
 	d.onBorrow, d.onGiveBack, d.onHint = e.loans.borrow, e.loans.giveBack, e.loans.hint
+	e.quotas = newQuotas(e, d)
 	subs := newSubmissions(e, minter, d)
 	e.router = &router{
 		clock: e.clock, minter: minter, submissions: subs, members: e.members,
@@ -173,6 +175,7 @@
 func (e *Entry) membersChanged() {
 	e.workers.update()
 	e.loans.update()
+	e.quotas.update()
 }
 
 func (e *Entry) newHandover(subs *submissions) *handover {
@@ -209,6 +212,7 @@
 func (e *Entry) heard(h *schema.Heartbeat) {
 	e.workers.takeLeaving(h.GetLeaving())
 	e.loans.heard(h)
+	e.quotas.heard(h)
 	e.wg.Go(func() { e.syncer.peerAhead(context.Background(), h) })
 }
 
@@ -219,12 +223,14 @@
 	load := e.workers.dispatcher.load()
 	h.FreeSlots, h.WantedSlots = uint32(load.Lendable), uint32(load.Wanted)
 	h.Leaving = e.workers.leavingList()
+	e.quotas.fill(h)
 }
 
 // refresh acts on a change of the configuration or the VM list.
 func (e *Entry) refresh() {
 	e.members.setCandidates(e.state.vmList(), e.settings.SeedPeers)
 	e.workers.update()
+	e.quotas.update()
 }
 
 func (e *Entry) publishGauges() {
@@ -271,10 +277,7 @@
 	if why := e.state.lacks(); why != "" {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "%s", why).After(time.Second)
 	}
-	if e.state.config().Retired(e.settings.Domain) {
-		return verdict.New(verdict.NotRun, verdict.DomainRetired, "failure domain %s is retired", e.settings.Domain).After(time.Second)
-	}
-	return nil
+	return retired(e.state, e.settings.Domain)
 }
 
 // Ready tells whether the entry takes new work.
@@ -303,6 +306,7 @@
 		Ready:         true,
 	}
 	s.Alarms = e.alarms()
+	s.TeamRates = e.quotas.rates()
 	for worker, n := range e.workers.dispatcher.runningOn() {
 		s.RunningOn = append(s.RunningOn, &schema.WorkerSlots{Worker: worker, Slots: uint32(n)})
 	}
--- /dev/null
+++ b/internal/entry/quotas.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/internal/clock"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/quota"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// demandPeriod is the period of demand: what it brought is told to every peer before
+// the next one ends, for peers of other failure domains get a heartbeat every 2 s.
+const demandPeriod = 2 * time.Second
+
+// quotas holds teams to this entry's share of their quotas, and kinds to its share of
+// their limit.
+type quotas struct {
+	clock      *clock.Clock
+	state      *state
+	members    *membership
+	dispatcher *dispatcher
+	metrics    *Metrics
+	domain     string
+
+	mu      sync.Mutex
+	limiter *quota.Limiter
+	teams   map[string]*quota.Demand
+	kinds   map[string]*quota.Demand
+	peers   map[netip.AddrPort]demands
+}
+
+// demands is what one peer told.
+type demands struct {
+	teams map[string]uint32
+	kinds map[string]uint32
+}
+
+func newQuotas(e *Entry, d *dispatcher) *quotas {
+	return &quotas{
+		clock: e.clock, state: e.state, members: e.members, dispatcher: d, metrics: e.metrics, domain: e.settings.Domain,
+		limiter: quota.NewLimiter(),
+		teams:   make(map[string]*quota.Demand),
+		kinds:   make(map[string]*quota.Demand),
+		peers:   make(map[netip.AddrPort]demands),
+	}
+}
+
+// take admits a job, or refuses it when its team is over its quota, or when the
+// failure domain was retired after the job's identifier was reserved.
+func (q *quotas) take(team string, tasks int) *verdict.Failure {
+	if f := retired(q.state, q.domain); f != nil {
+		q.metrics.refused(f.Reason)
+		return f
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	f := q.limiter.Take(q.clock.Now(), team, tasks)
+	if f != nil {
+		q.metrics.refused(f.Reason)
+	}
+	return f
+}
+
+// retired refuses new work in a retired failure domain.
+func retired(s *state, domain string) *verdict.Failure {
+	if !s.config().Retired(domain) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.DomainRetired,
+		"failure domain %s is retired; ask an entry of another one", domain).After(time.Second)
+}
+
+// refund gives back the starts of a job that was refused for another reason.
+func (q *quotas) refund(team string, tasks int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limiter.Refund(team, tasks)
+}
+
+// heard takes in a peer's demand.
+func (q *quotas) heard(h *schema.Heartbeat) {
+	a, err := netip.ParseAddrPort(h.GetAddress())
+	if err != nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.peers[a] = demands{teams: h.GetTeamRates(), kinds: h.GetKindDemand()}
+}
+
+// fill adds this entry's demand to a heartbeat.
+func (q *quotas) fill(h *schema.Heartbeat) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	h.TeamRates, h.KindDemand = told(q.teams), told(q.kinds)
+}
+
+// rates returns the task starts per second that each team asks of this entry.
+func (q *quotas) rates() map[string]uint32 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return told(q.teams)
+}
+
+func told(m map[string]*quota.Demand) map[string]uint32 {
+	out := make(map[string]uint32, len(m))
+	for name, d := range m {
+		if n := uint32(d.Told() + 0.5); n > 0 {
+			out[name] = n
+		}
+	}
+	return out
+}
+
+// observe ends a period of demand. Only teams with a quota and kinds with a limit
+// have any: the others' would only add to the heartbeats.
+func (q *quotas) observe() {
+	doc := q.state.config().Document()
+	running := q.dispatcher.kindDemand()
+	q.mu.Lock()
+	offered := q.limiter.Offered()
+	for name, t := range doc.GetTeams() {
+		observe(q.teams, name, t.GetStartsPerSecond() > 0, offered[name]/demandPeriod.Seconds())
+	}
+	for name, k := range doc.GetKinds() {
+		observe(q.kinds, name, k.GetMaxRunning() > 0, float64(running[name]))
+	}
+	q.mu.Unlock()
+	q.update()
+}
+
+func observe(m map[string]*quota.Demand, name string, limited bool, demand float64) {
+	if !limited {
+		delete(m, name)
+		return
+	}
+	if m[name] == nil {
+		m[name] = &quota.Demand{}
+	}
+	m[name].Observe(demand)
+}
+
+// update computes the shares again: the configuration, the live peers or a demand
+// may have changed.
+func (q *quotas) update() {
+	doc := q.state.config().Document()
+	view, live := q.view()
+	shares := make(map[string]float64)
+	limits := make(map[string]int)
+	q.mu.Lock()
+	q.forget(live)
+	for name, t := range doc.GetTeams() {
+		if limit := t.GetStartsPerSecond(); limit > 0 {
+			demand := func(d demands) uint32 { return d.teams[name] }
+			shares[name] = quota.Share(float64(limit), q.with(view, own(q.teams[name]), demand))
+		}
+	}
+	for name, k := range doc.GetKinds() {
+		if limit := k.GetMaxRunning(); limit > 0 {
+			demand := func(d demands) uint32 { return d.kinds[name] }
+			limits[name] = quota.Slots(int(limit), q.with(view, own(q.kinds[name]), demand))
+		}
+	}
+	q.limiter.SetShares(q.clock.Now(), shares)
+	q.mu.Unlock()
+	q.dispatcher.step(func(now time.Duration) { q.dispatcher.sched.SetKindLimits(now, limits) })
+}
+
+func own(d *quota.Demand) float64 {
+	if d == nil {
+		return 0
+	}
+	return d.Own()
+}
+
+// view returns the live entries, this one first, without demand.
+func (q *quotas) view() (v quota.View, live map[netip.AddrPort]bool) {
+	self := q.members.self.Address
+	v = quota.View{Self: self, Domains: q.domains(), Live: []quota.Entry{{Address: self, Domain: q.domain}}}
+	live = make(map[netip.AddrPort]bool)
+	q.members.with(func(m *member.View) {
+		for _, p := range m.Live("") {
+			live[p.Address] = true
+			if !p.Stopping {
+				v.Live = append(v.Live, quota.Entry{Address: p.Address, Domain: p.Domain})
+			}
+		}
+	})
+	return v, live
+}
+
+// domains returns the failure domains that should have entries: those of the VM list
+// that are not retired.
+func (q *quotas) domains() []string {
+	index := q.state.config()
+	var names []string
+	for _, vm := range q.state.vmList().GetVms() {
+		entry := vm.GetRole() == schema.VmRole_VM_ROLE_ENTRY && !vm.GetLeaving()
+		if entry && !index.Retired(vm.GetDomain()) && !slices.Contains(names, vm.GetDomain()) {
+			names = append(names, vm.GetDomain())
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// with returns the view with the demand of one team or kind. Called under the lock.
+func (q *quotas) with(v quota.View, own float64, demand func(demands) uint32) quota.View {
+	v.Live = slices.Clone(v.Live)
+	for i, e := range v.Live {
+		if e.Address == v.Self {
+			v.Live[i].Demand = own
+			continue
+		}
+		v.Live[i].Demand = float64(demand(q.peers[e.Address]))
+	}
+	return v
+}
+
+// forget drops the demand of peers that are no longer alive. Called under the lock.
+func (q *quotas) forget(live map[netip.AddrPort]bool) {
+	for a := range q.peers {
+		if !live[a] {
+			delete(q.peers, a)
+		}
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -120,6 +120,7 @@
 	e.wg.Go(func() { e.members.run(ctx) })
 	e.wg.Go(func() { every(ctx, tickInterval, e.router.submissions.dispatcher.tick) })
 	e.wg.Go(func() { every(ctx, sweepInterval, e.sweep) })
+	e.wg.Go(func() { every(ctx, demandPeriod, e.quotas.observe) })
 }
 
 // every calls fn at an interval until the context ends.
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -31,6 +31,7 @@
 	table      *submission.Table
 	state      *state
 	dispatcher *dispatcher
+	quotas     *quotas
 	metrics    *Metrics
 	// window is the time within which a reserved identifier must be used first.
 	window time.Duration
@@ -54,6 +55,7 @@
 		}),
 		state:      e.state,
 		dispatcher: d,
+		quotas:     e.quotas,
 		metrics:    e.metrics,
 		window:     e.settings.IdentifierWindow,
 		settle:     e.settle,
@@ -103,6 +105,9 @@
 		results:     make([]json.RawMessage, len(j.Tasks)),
 		finish:      func(results []json.RawMessage, f *verdict.Failure) { s.end(r, kind, results, f) },
 	}
+	if refusal := s.quotas.take(team, len(j.Tasks)); refusal != nil {
+		return refusal
+	}
 	key, refusal := s.dispatcher.submit(sched.Job{
 		Kind:     j.Kind,
 		Team:     team,
@@ -114,10 +119,12 @@
 		Needs:    resources(kind.GetNeeds()),
 		Domains:  kind.GetDomains(),
 	}, run)
-	if refusal == nil {
-		s.track(r, key)
+	if refusal != nil {
+		s.quotas.refund(team, len(j.Tasks))
+		return refusal
 	}
-	return refusal
+	s.track(r, key)
+	return nil
 }
 
 // track remembers the job of a running submission, unless it has ended already.
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -212,6 +212,7 @@
 	s.watch(ctx, "vms", func() (bool, error) {
 		l, ok, err := s.platform.VMs(ctx, version, s.watchWait)
 		if err != nil {
+			version = 0 // the next call is answered at once and shows that the outage is over
 			return false, err
 		}
 		version = l.GetVersion()
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,132 @@
+package quota
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// fleet returns live entries, two per failure domain, with the given demands.
+func fleet(demands ...float64) []Entry {
+	var live []Entry
+	for i, d := range demands {
+		live = append(live, Entry{
+			Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1)), Domain: string(rune('a' + i/2)), Demand: d,
+		})
+	}
+	return live
+}
+
+func domains(n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, string(rune('a'+i)))
+	}
+	return names
+}
+
+// sums adds up the shares that the live entries compute from one view.
+func sums(limit int, names []string, live []Entry) (rate float64, slots int) {
+	for _, e := range live {
+		v := View{Self: e.Address, Domains: names, Live: live}
+		rate += Share(float64(limit), v)
+		slots += Slots(limit, v)
+	}
+	return rate, slots
+}
+
+func TestSharesAddUpToLimit(t *testing.T) {
+	for _, limit := range []int{1, 2, 7, 100, 1001} {
+		for _, live := range [][]Entry{fleet(0), fleet(0, 0, 0, 0, 0, 0), fleet(5, 0, 100, 3, 0.5, 40), fleet(1e6, 1)} {
+			all := domains((len(live) + 1) / 2)
+			rate, slots := sums(limit, all, live)
+			assert.Assert(t, rate > 0.999*float64(limit) && rate < 1.001*float64(limit), "%d: %f", limit, rate)
+			assert.Equal(t, slots, limit)
+		}
+	}
+}
+
+// A partition splits three failure domains into one and two. Each side keeps its part,
+// so that both together never exceed the limit, whatever their demand.
+func TestPartitionedSidesKeepTheirPart(t *testing.T) {
+	for _, limit := range []int{1, 2, 10, 301} {
+		all := fleet(50, 0, 9, 9, 1, 300)
+		one, two := all[:2], all[2:]
+		rateOne, slotsOne := sums(limit, domains(3), one)
+		rateTwo, slotsTwo := sums(limit, domains(3), two)
+		assert.Assert(t, rateOne+rateTwo < 1.001*float64(limit))
+		assert.Equal(t, slotsOne+slotsTwo, limit)
+		assert.Assert(t, rateOne > 0.333*float64(limit))
+	}
+}
+
+func TestDemandMovesShares(t *testing.T) {
+	live := fleet(90, 10, 0, 0)
+	share := func(i int) float64 {
+		return Share(100, View{Self: live[i].Address, Domains: domains(2), Live: live})
+	}
+	assert.Assert(t, share(0) > 70)
+	assert.Assert(t, share(2) >= 5, "an entry without demand can't start anything")
+}
+
+// A team asks for ten times its quota in jobs of five tasks. It gets the quota and a
+// second's burst at most; each refusal is not run and says when to come back, later
+// for each further one.
+func TestLimiterHoldsTeamToShare(t *testing.T) {
+	l := NewLimiter()
+	l.SetShares(0, map[string]float64{"sales": 100})
+	started := 0
+	var before time.Duration
+	for now := time.Duration(0); now < 10*time.Second; now += 5 * time.Millisecond {
+		f := l.Take(now, "sales", 5)
+		if f == nil {
+			started += 5
+			before = 0
+			continue
+		}
+		assert.Equal(t, f.Verdict, verdict.NotRun)
+		assert.Equal(t, f.Reason, verdict.OverQuota)
+		assert.Assert(t, f.RetryAfter > 0 && f.RetryAfter <= longestWait)
+		assert.Assert(t, f.RetryAfter >= min(before, longestWait)-10*time.Millisecond)
+		before = f.RetryAfter
+		assert.Assert(t, l.Take(now, "other", 1000) == nil)
+	}
+	assert.Assert(t, started >= 1000 && started <= 1105, "%d", started)
+	assert.Equal(t, l.Offered()["sales"], 10000.0)
+}
+
+// A job larger than a second's share is admitted and its debt paid off afterwards.
+func TestLargeJobIsNotRefusedForEver(t *testing.T) {
+	l := NewLimiter()
+	l.SetShares(0, map[string]float64{"sales": 2})
+	assert.Assert(t, l.Take(0, "sales", 160) == nil)
+	assert.Assert(t, l.Take(time.Second, "sales", 1) != nil)
+	l.Refund("sales", 160)
+	assert.Assert(t, l.Take(time.Second, "sales", 1) == nil)
+}
+
+// What the peers are told comes a period before the entry counts it itself.
+func TestOwnDemandIsHeldBack(t *testing.T) {
+	var d Demand
+	d.Observe(100)
+	assert.Equal(t, d.Told(), 50.0)
+	assert.Equal(t, d.Own(), 0.0)
+	d.Observe(100)
+	assert.Equal(t, d.Own(), 50.0)
+}
+
+// Two entries of two failure domains share a quota by demand.
+func ExampleShare() {
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.1.1:1")
+	live := []Entry{{Address: a, Domain: "a", Demand: 75}, {Address: b, Domain: "b", Demand: 25}}
+	fmt.Println(Share(100, View{Self: a, Domains: []string{"a", "b"}, Live: live}))
+	fmt.Println(Share(100, View{Self: a, Domains: []string{"a", "b"}, Live: live[:1]}))
+	// Output:
+	// 70
+	// 50
+}
--- /dev/null
+++ b/quota/share.go
@@ -0,0 +1,152 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"net/netip"
+	"slices"
+)
+
+// floorPart is the part of a limit that is divided equally whatever the demand, so
+// that an entry without demand so far can start at once.
+const floorPart = 0.2
+
+// Entry is a live entry as the computing one sees it.
+type Entry struct {
+	Address netip.AddrPort
+	Domain  string
+	// Demand is what callers ask of the entry, in the unit of the limit.
+	Demand float64
+}
+
+// View is what an entry knows of the others.
+type View struct {
+	Self netip.AddrPort
+	// Domains are the failure domains that should have entries, sorted.
+	Domains []string
+	// Live are the entries that are alive, the computing one included.
+	Live []Entry
+}
+
+// Share returns this entry's share of a limit, at most the whole limit.
+func Share(limit float64, v View) float64 {
+	visible := 0
+	for _, heard := range v.heard() {
+		if heard {
+			visible++
+		}
+	}
+	if visible == 0 {
+		return 0
+	}
+	return limit * float64(visible) / float64(len(v.heard())) * v.weight(v.index())
+}
+
+// Slots returns this entry's share of a number of tasks. Shares are whole: what is
+// left over goes to the largest remainders, so that the shares of equal views add up
+// to the limit or, while a failure domain is not heard, to the others' part of it.
+func Slots(limit int, v View) int {
+	heard := v.heard()
+	part := 0
+	for at, h := range heard {
+		if h {
+			part += divided(limit, len(heard), at)
+		}
+	}
+	if v.index() < 0 {
+		return 0
+	}
+	type claim struct {
+		whole     int
+		remainder float64
+		at        int
+	}
+	claims := make([]claim, len(v.Live))
+	left := part
+	for at := range v.Live {
+		exact := float64(part) * v.weight(at)
+		whole := int(math.Floor(exact))
+		claims[at] = claim{whole: whole, remainder: exact - float64(whole), at: at}
+		left -= whole
+	}
+	slices.SortFunc(claims, func(a, b claim) int {
+		if c := cmp.Compare(b.remainder, a.remainder); c != 0 {
+			return c
+		}
+		return v.Live[a.at].Address.Compare(v.Live[b.at].Address)
+	})
+	for rank, c := range claims {
+		if v.Live[c.at].Address == v.Self {
+			return c.whole + divided(left, len(claims), rank)
+		}
+	}
+	return 0
+}
+
+// divided returns the at-th of n nearly equal whole parts.
+func divided(total, n, at int) int {
+	part := total / n
+	if at < total%n {
+		part++
+	}
+	return part
+}
+
+// heard tells for each failure domain whether any of its entries is live; domains of
+// live entries that are not listed come last.
+func (v View) heard() []bool {
+	names := slices.Clone(v.Domains)
+	for _, e := range v.Live {
+		if !slices.Contains(names, e.Domain) {
+			names = append(names, e.Domain)
+		}
+	}
+	heard := make([]bool, len(names))
+	for _, e := range v.Live {
+		heard[slices.Index(names, e.Domain)] = true
+	}
+	return heard
+}
+
+// index returns the place of the computing entry among the live ones, or -1.
+func (v View) index() int {
+	return slices.IndexFunc(v.Live, func(e Entry) bool { return e.Address == v.Self })
+}
+
+// weight returns an entry's fraction of what the live entries share.
+func (v View) weight(at int) float64 {
+	if at < 0 {
+		return 0
+	}
+	n := float64(len(v.Live))
+	sum := 0.0
+	for _, e := range v.Live {
+		sum += e.Demand
+	}
+	if sum <= 0 {
+		return 1 / n
+	}
+	return floorPart/n + (1-floorPart)*v.Live[at].Demand/sum
+}
+
+// Demand smooths an entry's own demand and holds it back by one period: Told is for
+// the peers, Own for the entry's own computation.
+type Demand struct {
+	told float64
+	own  float64
+}
+
+// smoothing is the weight of the newest period.
+const smoothing = 0.5
+
+// Observe ends a period of at least the longest time between two heartbeats.
+func (d *Demand) Observe(demand float64) {
+	d.own = d.told
+	d.told += smoothing * (demand - d.told)
+}
+
+// Told returns what the peers are told.
+func (d *Demand) Told() float64 { return d.told }
+
+// Own returns what the peers have been told for a period.
+func (d *Demand) Own() float64 { return d.own }
--- a/sched/running.go
+++ b/sched/running.go
@@ -8,3 +8,12 @@
 	}
 	return counts
 }
+
+// KindDemand counts the running and waiting tasks by kind.
+func (s *Scheduler) KindDemand() map[string]int {
+	counts := make(map[string]int)
+	for _, j := range s.jobs {
+		counts[j.Kind] += len(j.running) + len(j.waiting)
+	}
+	return counts
+}
