--- a/sched/doc.go
+++ b/sched/doc.go
@@ -14,6 +14,10 @@
 //		s.Done(now, start, outcome)
 //	}
 //
+// Entries lend each other slots. Tell the scheduler its peers (SetPeers) and what they
+// have free (SetPeerFree), carry its Borrow and GiveBack commands to them, answer theirs
+// with Lend and TakeBack, and hand each answer to Borrowed.
+//
 // Call Ready after every event and Tick every few milliseconds. A Scheduler is not
 // safe for concurrent use.
 package sched
