--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -22,6 +22,9 @@
 		if to == r.members.self {
 			return r.inherited(id, c)
 		}
+		if to.Address == r.members.self.Address {
+			return r.predecessor(c)
+		}
 		answer := r.ask(ctx, to, c)
 		switch {
 		case answer == nil && r.members.successor(owner) != to:
@@ -77,6 +80,15 @@
 	return reply{gone: true}
 }
 
+// predecessor answers about a process that ran at this address before: it is dead. For
+// a while after the start it is not yet known whether another keeps its answers.
+func (r *router) predecessor(c call) reply {
+	if r.clock.Now() < r.settled {
+		return r.unreachable(c)
+	}
+	return r.ownerGone(c)
+}
+
 // unanswered decides what is told when the owner can't be asked. Only what is certain
 // is final: an owner that is cut off, or the holder of its answers, may tell the one
 // true ending to another caller.
@@ -90,7 +102,16 @@
 // ownerGone is final: the owner is dead, and its right to start tasks with it, or its
 // time to start them and to tell of them is over. What it had started is unknown.
 func (r *router) ownerGone(c call) reply {
-	return r.refuse(c.id, ownerGone())
+	return r.refuseKind(c.id, ownerGone(), r.kindOf(c))
+}
+
+// kindOf returns the kind of the job that a PUT carries, nil when it is not known.
+func (r *router) kindOf(c call) *schema.Kind {
+	if c.method != http.MethodPut {
+		return nil
+	}
+	_, kind, _ := checkJob(r.submissions.state.config(), c.body)
+	return kind
 }
 
 func ownerGone() *verdict.Failure {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -118,7 +118,7 @@
 	e.wg.Go(func() { e.syncer.watchConfig(ctx) })
 	e.wg.Go(func() { e.syncer.watchVMs(ctx) })
 	e.wg.Go(func() { e.members.run(ctx) })
-	e.wg.Go(func() { every(ctx, tickInterval, e.router.submissions.dispatcher.tick) })
+	e.wg.Go(func() { every(ctx, tickInterval, e.tick) })
 	e.wg.Go(func() { every(ctx, sweepInterval, e.sweep) })
 	e.wg.Go(func() { every(ctx, demandPeriod, e.quotas.observe) })
 }
@@ -137,6 +137,11 @@
 	}
 }
 
+func (e *Entry) tick() {
+	e.router.submissions.pauses.Beat(e.clock.Now())
+	e.router.submissions.dispatcher.tick()
+}
+
 func (e *Entry) sweep() { e.router.submissions.table.Sweep(e.clock.Now()) }
 
 // CallerAddress returns the address of the caller interface.
--- a/internal/entry/submissions.go
+++ b/internal/entry/submissions.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lavendercleat/lavendercleat/internal/clock"
-	"github.com/lavendercleat/lavendercleat/internal/peer"
 	"github.com/lavendercleat/lavendercleat/sched"
 	"github.com/lavendercleat/lavendercleat/schema"
 	"github.com/lavendercleat/lavendercleat/submission"
@@ -27,6 +26,7 @@
 // submissions runs the submissions that this process owns.
 type submissions struct {
 	clock      *clock.Clock
+	pauses     *clock.Pauses
 	minter     *submission.Minter
 	table      *submission.Table
 	state      *state
@@ -47,6 +47,7 @@
 func newSubmissions(e *Entry, m *submission.Minter, d *dispatcher) *submissions {
 	return &submissions{
 		clock:  e.clock,
+		pauses: new(clock.Pauses),
 		minter: m,
 		table: submission.NewTable(submission.TableConfig{
 			Window:    e.settings.IdentifierWindow,
@@ -94,7 +95,9 @@
 	if wait == 0 {
 		wait = int64(kind.GetDeadlineMs())
 	}
-	deadline := s.clock.Now() + time.Duration(wait)*time.Millisecond
+	// A request that waited unread while this process was frozen has its time from
+	// then: counted from now, it would start after its caller gave up.
+	deadline := s.pauses.Received(s.clock.Now()) + time.Duration(wait)*time.Millisecond
 	run := &jobRun{
 		submission:  r.ID,
 		path:        kind.GetPath(),
@@ -150,13 +153,6 @@
 		s.close(r, failedEnding(r.ID, kind, f))
 		return
 	}
-	// A larger answer can't be passed on: a caller at another entry would be told for
-	// ever to ask again.
-	if len(body) > peer.MaxAnswer {
-		f = verdict.New(verdict.MayHaveRun, verdict.ReplyTooLarge, "the results are over %d bytes together; split the job", peer.MaxAnswer)
-		s.close(r, failedEnding(r.ID, kind, f))
-		return
-	}
 	s.close(r, submission.Ending{Status: http.StatusOK, Body: body})
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -10,9 +10,6 @@
 // MaxMessage bounds one message; a handover of answers is sent in parts below it.
 const MaxMessage = 32 << 20
 
-// MaxAnswer bounds the body of an answer that is passed on within one message.
-const MaxAnswer = MaxMessage - 64<<10
-
 var errTooLarge = errors.New("message too large")
 
 // writeMessage writes a message; the end of the stream marks its end.
