--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -20,7 +20,7 @@
 	for range maxForwards {
 		to := r.members.successor(owner)
 		if to == r.members.self {
-			return r.inherited(id, c)
+			return r.inherited(ctx, id, c)
 		}
 		if to.Address == r.members.self.Address {
 			return r.predecessor(c)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -75,7 +75,7 @@
 		return r.answer(ctx, rec, c)
 	}
 	if r.predecessors.Has(id.Process()) {
-		return r.inherited(id, c)
+		return r.inherited(ctx, id, c)
 	}
 	if c.forwarded {
 		return r.misdirected(owner, c)
@@ -83,9 +83,16 @@
 	return r.forward(ctx, owner, id, c)
 }
 
-// inherited answers for a stopped process that handed over no answer under this
-// identifier. Its table was complete, so within the window nothing ever started.
-func (r *router) inherited(id submission.ID, c call) reply {
+// inherited answers for a stopped process that handed its answers over to this one. Its
+// table was complete, so within the window nothing ever started without a record.
+//
+// The table is looked at here, however short ago it was before: the handover may have
+// come in between, or while the request waited for the process that stopped. Its caller
+// would be told "not run" of what has run.
+func (r *router) inherited(ctx context.Context, id submission.ID, c call) reply {
+	if rec := r.submissions.table.Get(c.id); rec != nil && rec.Team == c.team {
+		return r.answer(ctx, rec, c)
+	}
 	if r.predecessors.NeverStarted(id, r.clock.Now()) {
 		return r.refuse(c.id, submission.NeverStarted())
 	}
--- a/test/chaos/pairs_test.go
+++ b/test/chaos/pairs_test.go
@@ -189,3 +189,56 @@
 	}
 	s.end()
 }
+
+// A caller cancels a submission before its request has come, and the owner is stopped
+// as planned. The late request comes through another entry: it gets the cancellation
+// that the caller was told, not another ending, and nothing starts.
+func TestCanceledEarlyAndOwnerStopped(t *testing.T) {
+	t.Parallel()
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 1})
+	owner, other := c.Entries[0], c.Entries[1]
+	l := cluster.NewLedger()
+	id, j := reserve(t, owner), longJob("late", 10*time.Millisecond)
+	l.Sent(id, j)
+	r, err := other.Client(cluster.Token).Delete(t.Context(), id)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Reason, "canceled")
+	l.Told(id, r)
+	owner.Terminate()
+	assert.NilError(t, owner.Wait(30*time.Second))
+	ctx, cancel := context.WithTimeout(t.Context(), finalWithin)
+	defer cancel()
+	r, err = l.Ask(ctx, newBalancer(c.Entries[1:]).pick, id, j)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Reason, "canceled")
+	l.Check(t, c.Witness())
+}
+
+// A booking runs, and the connection on which another entry waits for it goes silent.
+// The owner is stopped as planned and hands its answer to just that entry. When the
+// entry gives the silent connection up, its caller gets the booking's answer: "not
+// run", as for an identifier without an answer, would make the caller book again.
+func TestAnswerHandedToWaitingEntry(t *testing.T) {
+	t.Parallel()
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 1})
+	owner, other := c.Entries[0], c.Entries[1]
+	l := cluster.NewLedger()
+	id, j := reserve(t, owner), longJob("handed over", 500*time.Millisecond)
+	first := make(chan client.Reply, 1)
+	go func() {
+		r, err := l.Put(t.Context(), other.Client(cluster.Token), id, j)
+		assert.Check(t, err)
+		first <- r
+	}()
+	cluster.Eventually(t, 5*time.Second, "the booking runs", func() bool { return c.Witness().Tasks[id+"/0"] == 1 })
+	owner.Relay.MuteExisting()
+	owner.Terminate()
+	r := <-first
+	assert.Check(t, r.Verdict != "not-run", "%s %s", r.Outcome, r.Reason)
+	ctx, cancel := context.WithTimeout(t.Context(), finalWithin)
+	defer cancel()
+	r, err := l.Ask(ctx, newBalancer(c.Entries[1:]).pick, id, j)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Outcome, client.Complete)
+	l.Check(t, c.Witness())
+}
