--- a/internal/entry/quotas.go
+++ b/internal/entry/quotas.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -124,6 +125,8 @@
 	running := q.dispatcher.kindDemand()
 	q.mu.Lock()
 	offered := q.limiter.Offered()
+	maps.DeleteFunc(q.teams, func(name string, _ *quota.Demand) bool { return doc.GetTeams()[name] == nil })
+	maps.DeleteFunc(q.kinds, func(name string, _ *quota.Demand) bool { return doc.GetKinds()[name] == nil })
 	for name, t := range doc.GetTeams() {
 		observe(q.teams, name, t.GetStartsPerSecond() > 0, offered[name]/demandPeriod.Seconds())
 	}
