--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -115,10 +115,13 @@
 	}
 }
 
-// restarted closes a connection that is older than the peer's process.
+// restarted closes a connection that is older than the peer's process. The process
+// was just heard, so calls wait for the new connection: as one to a peer that counts
+// as down they would fail.
 func (l *link) restarted(age time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.down = false
 	if l.conn != nil && time.Since(l.made) > age {
 		conn := l.conn
 		l.conn = nil
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
 
 	"github.com/lavendercleat/lavendercleat/schema"
@@ -88,3 +90,17 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// A peer that counts as down restarts and is heard. The next call waits for the
+// connection to the new process instead of failing at once: its caller would be told
+// that an entry can't be reached which is there.
+func TestRestartedPeerIsWaitedFor(t *testing.T) {
+	errDial := errors.New("tried")
+	dial := func() (*quic.Conn, error) { return nil, errDial }
+	_, err := (&link{dial: dial, down: true}).connectReachable(t.Context())
+	assert.ErrorIs(t, err, errDown)
+	l := &link{dial: dial, down: true}
+	l.restarted(0)
+	_, err = l.connectReachable(t.Context())
+	assert.ErrorIs(t, err, errDial)
+}
