--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -91,10 +91,16 @@
 		DialContext:         c.dial,
 		IdleConnTimeout:     idle,
 		MaxIdleConnsPerHost: maxIdlePerWorker,
+		ReadBufferSize:      connBufferSize,
+		WriteBufferSize:     connBufferSize,
 		DisableCompression:  true,
 	}
 }
 
+// connBufferSize is the size of each of a connection's two buffers, in bytes. Every
+// running task has a connection; a request of a usual task fits into one write.
+const connBufferSize = 2 << 10
+
 // maxIdlePerWorker bounds the idle connections to one worker.
 const maxIdlePerWorker = 16
 
