--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -69,7 +69,9 @@
 
 // misdirected answers a forwarded request that names another process at this address.
 func (r *router) misdirected(owner member.Process, c call) reply {
-	if to := r.members.successor(owner); to != owner {
+	// A holder that ran at this address before is dead, and the answers with it. Named
+	// as the successor again, its caller would be sent here to ask for good.
+	if to := r.members.successor(owner); to != owner && to.Address != r.members.self.Address {
 		return reply{successor: successorMessage(owner, to, r.members.settle())}
 	}
 	if r.clock.Now() < r.settled {
--- a/test/chaos/pairs_test.go
+++ b/test/chaos/pairs_test.go
@@ -242,3 +242,33 @@
 	assert.Equal(t, r.Outcome, client.Complete)
 	l.Check(t, c.Witness())
 }
+
+// An entry is stopped as planned, and the entry that took its answers over is killed
+// and replaced: nobody has them any more. A caller who asks again through a third entry
+// is told so, as its one failure, and is not sent to ask again for good.
+func TestHolderOfAnswersDies(t *testing.T) {
+	t.Parallel()
+	c := cluster.Start(t, cluster.Options{Domains: 2, Entries: 2, Workers: 1, OneProcess: true})
+	owner, holder, third := c.Entries[0], c.Entries[1], c.Entries[2]
+	l := cluster.NewLedger()
+	id, j := reserve(t, owner), longJob("held", 10*time.Millisecond)
+	r, err := l.Put(t.Context(), owner.Client(cluster.Token), id, j)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Outcome, client.Complete)
+	owner.Terminate()
+	assert.NilError(t, owner.Wait(30*time.Second))
+	cluster.Eventually(t, noticed, "the answer is kept by the holder", func() bool {
+		r, err := third.Client(cluster.Token).Get(t.Context(), id)
+		return err == nil && r.Outcome == client.Complete
+	})
+	holder.Kill()
+	c.StartEntry(holder)
+	ctx, cancel := context.WithTimeout(t.Context(), finalWithin/2)
+	defer cancel()
+	begin := time.Now()
+	r, err = l.Ask(ctx, newBalancer([]*cluster.Entry{third}).pick, id, j)
+	assert.NilError(t, err, "last told: %s", r.Reason)
+	assert.Equal(t, r.Reason, "owner_gone")
+	t.Logf("told that it is gone after %s", time.Since(begin).Round(100*time.Millisecond))
+	l.Check(t, c.Witness())
+}
