--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,9 @@
 const (
 	// tickInterval is how often the scheduler looks at the time.
 	tickInterval = 10 * time.Millisecond
+	// peerIdleTimeout is how long an unused connection to a peer is kept: longer than any
+	// interval between heartbeats.
+	peerIdleTimeout = 15 * time.Second
 	// sweepInterval is how often ended submissions are dropped.
 	sweepInterval = time.Second
 	// maxReplyBytes bounds one task's result.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -121,6 +121,7 @@
 	e.wg.Go(func() { every(ctx, tickInterval, e.tick) })
 	e.wg.Go(func() { every(ctx, sweepInterval, e.sweep) })
 	e.wg.Go(func() { every(ctx, demandPeriod, e.quotas.observe) })
+	e.wg.Go(func() { every(ctx, peerIdleTimeout, func() { e.client.CloseIdle(peerIdleTimeout) }) })
 }
 
 // every calls fn at an interval until the context ends.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	t := &quic.Transport{Conn: socket}
-	conn, err := t.Dial(ctx, net.UDPAddrFromAddrPort(to), c.tls, quicConfig())
+	conn, err := t.Dial(ctx, net.UDPAddrFromAddrPort(to), c.tls, dialConfig())
 	if err != nil {
 		return nil, errors.CombineErrors(err, closeTransport(t, socket))
 	}
@@ -69,7 +69,10 @@
 // failure is NotRun when there was no connection, so that the request can't have
 // reached the peer.
 func (c *Client) Call(ctx context.Context, to netip.AddrPort, r *schema.Request) (*schema.Reply, *verdict.Failure) {
-	conn, err := c.link(to).connect(ctx)
+	l := c.link(to)
+	l.begin()
+	defer l.end()
+	conn, err := l.connect(ctx)
 	if err != nil {
 		return nil, noConnection(err, to)
 	}
@@ -79,7 +82,10 @@
 // CallReachable is Call that fails at once while the peer can't be reached. It has a
 // connection tried meanwhile, for the next call.
 func (c *Client) CallReachable(ctx context.Context, to netip.AddrPort, r *schema.Request) (*schema.Reply, *verdict.Failure) {
-	conn, err := c.link(to).connectReachable(ctx)
+	l := c.link(to)
+	l.begin()
+	defer l.end()
+	conn, err := l.connectReachable(ctx)
 	if err != nil {
 		return nil, noConnection(err, to)
 	}
@@ -124,6 +130,17 @@
 	return reply, nil
 }
 
+// CloseIdle closes the connections that no call has used for some time. Heartbeats go
+// over one of the two connections of a pair only; the other would cost as much again
+// to be kept open.
+func (c *Client) CloseIdle(after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.peers {
+		l.closeIdle(after)
+	}
+}
+
 // Restarted closes the connection to a peer whose process is of the given age if the
 // connection is older: it leads to a process that is gone, and calls on it would wait
 // until it counts as silent.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -29,6 +29,37 @@
 	// is made.
 	down   bool
 	closed bool
+	// calls counts the calls in progress, used is the end of the latest.
+	calls int
+	used  time.Time
+}
+
+// begin counts a call.
+func (l *link) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+}
+
+// end ends a call.
+func (l *link) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls--
+	l.used = time.Now()
+}
+
+// closeIdle closes a connection that no call has used for some time. The link does not
+// count as down then: the next call makes a connection and waits for it.
+func (l *link) closeIdle(after time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil || l.calls > 0 || time.Since(l.used) < after {
+		return
+	}
+	conn := l.conn
+	l.conn = nil
+	go conn.CloseWithError(0, "idle")
 }
 
 // attempt is one making of a connection; conn and err are valid once done is closed.
--- a/member/pace.go
+++ b/member/pace.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// earlyShare of an interval is how much too early a heartbeat may be: the ticks that
-// ask for it don't fall exactly on the interval.
+// earlyShare of Interval is how much too early a heartbeat may be: the ticks that ask
+// for it, one each Interval, don't fall exactly on the time.
 const earlyShare = 4
 
 // Due tells whether a heartbeat to a peer is due; alive says whether the view holds it
@@ -58,7 +58,7 @@
 		return false
 	}
 	at, ok := p.exchanged[peer]
-	return !ok || now-at >= interval-interval/earlyShare
+	return !ok || now-at >= interval-p.config.Interval/earlyShare
 }
 
 // Exchanged notes a heartbeat that was answered, or a peer's that came in.
