--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -73,6 +73,7 @@
 	}
 	assert.NilError(t, kong.ApplyDefaults(&settings))
 	settings.StopDelay = 0
+	settings.StopTimeout = 500 * time.Millisecond // a lone entry keeps its answers so long
 	e, err := New(settings, cred, log)
 	assert.NilError(t, err)
 	if change != nil {
