--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/lavendercleat/lavendercleat/client"
 	"github.com/lavendercleat/lavendercleat/config"
@@ -132,22 +131,7 @@
 	go h.Serve(l)
 	lc.Append(fx.Hook{OnStop: func(context.Context) error { return h.Close() }})
 	p := &devPlatform{url: httpURL(l.Addr().(*net.TCPAddr).AddrPort())}
-	return p, p.writeConfig()
-}
-
-func (p *devPlatform) writeConfig() error {
-	doc := sampleConfig()
-	if err := config.Validate(doc); err != nil {
-		return err
-	}
-	b, err := proto.Marshal(doc)
-	if err != nil {
-		return err
-	}
-	client := platform.NewClient(p.url)
-	defer client.Close()
-	_, err = client.CompareAndSwap(context.Background(), entry.ConfigKey, 0, b)
-	return err
+	return p, entry.SeedConfig(context.Background(), p.url, sampleConfig())
 }
 
 func devVMs(fleet *standinbackend.Fleet) []*schema.Vm {
--- /dev/null
+++ b/internal/entry/seed.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/internal/platform"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// SeedConfig writes a first configuration document to a stand-in platform, for dev,
+// experiments and tests. It fails on an invalid document and when there is one already.
+func SeedConfig(ctx context.Context, platformURL string, doc *schema.Config) error {
+	if err := config.Validate(doc); err != nil {
+		return err
+	}
+	b, err := proto.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	c := platform.NewClient(platformURL)
+	defer c.Close()
+	_, err = c.CompareAndSwap(ctx, ConfigKey, 0, b)
+	return err
+}
--- a/internal/load/system.go
+++ b/internal/load/system.go
@@ -12,12 +12,10 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/lavendercleat/lavendercleat/config"
 	"github.com/lavendercleat/lavendercleat/internal/entry"
 	"github.com/lavendercleat/lavendercleat/internal/peer"
-	"github.com/lavendercleat/lavendercleat/internal/platform"
 	standinbackend "github.com/lavendercleat/lavendercleat/internal/standin/backend"
 	standinplatform "github.com/lavendercleat/lavendercleat/internal/standin/platform"
 	"github.com/lavendercleat/lavendercleat/sched"
@@ -87,18 +85,7 @@
 	s.platform = &http.Server{Handler: server, ReadHeaderTimeout: settleTimeout}
 	go s.platform.Serve(l)
 	s.url = "http://" + l.Addr().String()
-	doc := document(p)
-	if err := config.Validate(doc); err != nil {
-		return err
-	}
-	b, err := proto.Marshal(doc)
-	if err != nil {
-		return err
-	}
-	c := platform.NewClient(s.url)
-	defer c.Close()
-	_, err = c.CompareAndSwap(ctx, entry.ConfigKey, 0, b)
-	return err
+	return entry.SeedConfig(ctx, s.url, document(p))
 }
 
 // document returns a configuration with the kinds of a profile.
