--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -70,14 +70,14 @@
 	})
 }
 
-// handOver hands the answers over. A lone entry serves them until the stop times out;
-// with a successor this takes milliseconds.
+// handOver hands the answers over. A lone entry serves them until the stop times out,
+// or ends at once when it has none; with a successor this takes milliseconds.
 func (e *Entry) handOver(ctx, patience context.Context) {
 	for first := true; ; first = false {
 		attempt, cancel := context.WithTimeout(ctx, finishTimeout)
 		done := e.handover.give(attempt)
 		cancel()
-		if done {
+		if done || e.nothingToKeep() {
 			return
 		}
 		if first {
@@ -92,6 +92,12 @@
 	}
 }
 
+// nothingToKeep tells whether no caller can come back for an answer and no peer is there
+// to be told so.
+func (e *Entry) nothingToKeep() bool {
+	return e.router.submissions.table.Len() == 0 && len(e.members.successorCandidates()) == 0
+}
+
 // leave finishes what is being answered and closes everything.
 func (e *Entry) leave(ctx context.Context) error {
 	finish, cancel := context.WithTimeout(ctx, finishTimeout)
