--- a/sched/admit.go
+++ b/sched/admit.go
@@ -61,11 +61,7 @@
 
 // lateBy returns by how much the backlog is too long for the job; 0 when it is not.
 func (s *Scheduler) lateBy(now time.Duration, j *Job, k *kind) time.Duration {
-	tail := k.times.mean
-	if k.times.learned() {
-		tail = k.times.tail
-	}
-	left := max(j.Deadline-now-tail, 0)
+	left := max(j.Deadline-now-k.times.longest(j.Tasks), 0)
 	c := s.capacity(now, j)
 	own := max(j.Tasks-s.index[ownClass].free-s.index[borrowedClass].free, 0)
 	mine := seconds(k, own)
--- a/sched/admit_test.go
+++ b/sched/admit_test.go
@@ -98,3 +98,24 @@
 	s.submit(0, sched.Job{Key: 3, Domains: []string{"b"}})
 	assert.Equal(t, len(s.take()), 0)
 }
+
+// One task in 25 takes 3 s instead of 100 ms. A job of many tasks will have such a
+// task, so its slots must come 3 s before its deadline; behind the same backlog a job
+// of one task most likely has none and is admitted.
+func TestLargeJobIsJudgedByItsLongestTask(t *testing.T) {
+	s := newScenario(t, sched.DefaultConfig())
+	s.workers(0, 2, 1)
+	now := time.Duration(0)
+	for i := range 200 {
+		s.submit(now, sched.Job{Key: sched.JobKey(i + 1)})
+		run := 100 * ms
+		if i%25 == 24 {
+			run = 3 * time.Second
+		}
+		now += run
+		s.finish(now, s.take()...)
+	}
+	s.submit(now, sched.Job{Key: 1001, Tasks: 24})
+	s.refused(now, sched.Job{Key: 1002, Tasks: 10, Deadline: now + 10*time.Second}, verdict.Overloaded)
+	s.submit(now, sched.Job{Key: 1003, Tasks: 1, Deadline: now + 10*time.Second})
+}
--- a/sched/runtime.go
+++ b/sched/runtime.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"github.com/DataDog/sketches-go/ddsketch"
@@ -72,15 +73,31 @@
 	r.last, r.sketch = r.sketch, fresh
 }
 
-// refresh looks up the tail in the fuller sketch.
-func (r *runTimes) refresh() {
+// refresh looks up the tail.
+func (r *runTimes) refresh() { r.tail = r.quantile(tailQuantile, r.tail) }
+
+// quantile returns a quantile of the runs by the fuller sketch, or the given time when
+// there are none.
+func (r *runTimes) quantile(q float64, otherwise time.Duration) time.Duration {
 	from := r.sketch
 	if r.last != nil && from.GetCount() < sketchWindow/2 {
 		from = r.last
 	}
-	if q, err := from.GetValueAtQuantile(tailQuantile); err == nil {
-		r.tail = time.Duration(q * float64(time.Second))
+	seconds, err := from.GetValueAtQuantile(q)
+	if err != nil {
+		return otherwise
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// longest returns the time that the longest of a number of tasks stays below with the
+// probability of tailQuantile. Where a few tasks take far longer, a job of many most
+// likely has one of them, though a single task has not.
+func (r *runTimes) longest(tasks int) time.Duration {
+	if !r.learned() {
+		return r.mean
 	}
+	return r.quantile(math.Pow(tailQuantile, 1/float64(tasks)), r.tail)
 }
 
 // learned tells whether the times were observed rather than declared.
