--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -31,13 +31,13 @@
 type callers struct {
 	router *router
 	state  *state
-	// notReady says why new work is refused; empty when it is not.
+	// notReady returns why new work is refused, nil when it is accepted.
 	notReady func() *verdict.Failure
 	// writeLimit bounds the time in which a caller must have taken its answer.
 	writeLimit time.Duration
 }
 
-// handler returns the HTTP handler.
+// handler returns the routes of the caller interface.
 func (a *callers) handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
@@ -131,7 +131,7 @@
 	a.send(c, a.router.serve(c.Request.Context(), r))
 }
 
-// jobBody reads a job.
+// jobBody reads a job up to the limit in force for bodies, limits.max_body_bytes.
 func (a *callers) jobBody(c *gin.Context) ([]byte, *verdict.Failure) {
 	return readBody(c, int64(a.state.config().Document().GetLimits().GetMaxBodyBytes()))
 }
@@ -194,7 +194,7 @@
 	a.send(c, a.router.unasked(id, f))
 }
 
-// send writes a reply.
+// send writes a reply, with its advice when to ask again in whole seconds.
 func (a *callers) send(c *gin.Context, r reply) {
 	// The server's limit on writing counts from the request's header, but the caller
 	// may have waited long for its job. An error means that the connection is gone.
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -39,7 +39,7 @@
 	successor *schema.Successor
 }
 
-// notRun tells whether the reply says that nothing ran.
+// notRun reports whether the reply says that nothing ran.
 func (r reply) notRun() bool {
 	var a schema.Answer
 	return json.Unmarshal(r.body, &a) == nil && a.Verdict == verdict.NotRun.String()
@@ -135,7 +135,7 @@
 	return r.refuse(c.id, verdict.New(verdict.MayHaveRun, verdict.IdentifierExpired, "the identifier has expired and its answer, if there was one, is no longer kept"))
 }
 
-// answer answers a request about a record.
+// answer serves a request about a record: a GET at once, PUT and DELETE once it has ended.
 func (r *router) answer(ctx context.Context, rec *submission.Record, c call) reply {
 	switch c.method {
 	case http.MethodDelete:
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -77,7 +77,7 @@
 
 func (e *Entry) listenHTTP() error {
 	var err error
-	if e.servers.caller, err = e.serveHTTP(e.settings.CallerAddress, e.leadAway(e.callers.handler())); err != nil {
+	if e.servers.caller, err = e.serveHTTP(e.settings.CallerAddress, e.trackRequests(e.callers.handler())); err != nil {
 		return errors.Wrap(err, "--caller-address")
 	}
 	e.servers.callerHTTP = e.servers.http[0]
@@ -167,7 +167,7 @@
 	return e.close()
 }
 
-// close breaks off everything.
+// close cuts off callers and peers at once and waits for the background loops.
 func (e *Entry) close() error {
 	if e.cancel != nil {
 		e.cancel()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -41,11 +41,11 @@
 
 // checkDomain keeps separators out of the name: racks are named "domain/rack".
 func checkDomain(c schema.EntrySettings) error {
-	strange := strings.ContainsFunc(c.Domain, func(r rune) bool {
+	invalid := strings.ContainsFunc(c.Domain, func(r rune) bool {
 		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
 		return !letter && !strings.ContainsRune("-_.", r)
 	})
-	if c.Domain == "" || len(c.Domain) > maxDomainName || strange {
+	if c.Domain == "" || len(c.Domain) > maxDomainName || invalid {
 		return errors.Newf("--domain is %q; accepted are 1 to %d letters, digits, dots, - and _", c.Domain, maxDomainName)
 	}
 	return nil
@@ -77,7 +77,7 @@
 	return nil
 }
 
-// dialable tells whether the address can be one machine's.
+// dialable reports whether the address can be one machine's.
 func dialable(a netip.AddrPort) bool {
 	ip := a.Addr()
 	return a.IsValid() && !ip.IsUnspecified() && !ip.IsMulticast() && ip.Zone() == "" && !ip.Is4In6()
@@ -85,12 +85,12 @@
 
 func checkPlatformURL(c schema.EntrySettings) error {
 	u, err := url.Parse(c.PlatformUrl)
-	good := err == nil && (u.Scheme == "http" || u.Scheme == "https") &&
+	valid := err == nil && (u.Scheme == "http" || u.Scheme == "https") &&
 		u.User == nil && u.Path == "" && u.RawQuery == "" && u.Fragment == ""
-	if good {
+	if valid {
 		_, err = netip.ParseAddrPort(u.Host)
 	}
-	if !good || err != nil {
+	if !valid || err != nil {
 		return errors.Newf("--platform-url is %q; accepted are http://IP:port and https://IP:port with an IP number", c.PlatformUrl)
 	}
 	return nil
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -38,27 +38,28 @@
 	sleep(ctx, e.settings.StopDelay)
 	e.sealed.Store(true)
 	e.router.submissions.table.Seal()
-	patience, cancel := context.WithTimeout(ctx, e.settings.StopTimeout)
+	stopCtx, cancel := context.WithTimeout(ctx, e.settings.StopTimeout)
 	defer cancel()
-	if e.finishJobs(ctx, patience) {
-		e.handOver(ctx, patience)
+	if e.finishJobs(ctx, stopCtx) {
+		e.handOver(ctx, stopCtx)
 	}
 	err := e.leave(ctx)
 	e.log.WithField("event", "stopped").Info("entry stopped")
 	return err
 }
 
-// finishJobs waits for the jobs in flight, and ends them when the stop times out. It
-// tells whether every submission has ended; otherwise nothing may be handed over, for
+// finishJobs waits for the jobs in flight, and ends them once stopCtx, which bounds the
+// stop, is over; ctx outlasts it, so that the callers still get their failures. It
+// returns whether every submission has ended; otherwise nothing may be handed over, for
 // a successor says of those it has no answer of that they never started.
-func (e *Entry) finishJobs(ctx, patience context.Context) bool {
+func (e *Entry) finishJobs(ctx, stopCtx context.Context) bool {
 	d := e.router.submissions.dispatcher
 	running := e.router.submissions.table.Running
 	// The slots are kept while tasks wait for them: given back at once, the jobs in
 	// flight could not be finished.
-	pollUntil(patience, func() bool { return d.load().Waiting == 0 })
+	pollUntil(stopCtx, func() bool { return d.load().Waiting == 0 })
 	e.members.handBack(ctx)
-	if pollUntil(patience, func() bool { return running() == 0 }) {
+	if pollUntil(stopCtx, func() bool { return running() == 0 }) {
 		return true
 	}
 	e.log.WithFields(logrus.Fields{"event": "stop_timeout", "jobs": running()}).Warn("jobs in flight are broken off")
@@ -72,7 +73,7 @@
 
 // handOver hands the answers over. A lone entry serves them until the stop times out,
 // or ends at once when it has none; with a successor this takes milliseconds.
-func (e *Entry) handOver(ctx, patience context.Context) {
+func (e *Entry) handOver(ctx, stopCtx context.Context) {
 	for first := true; ; first = false {
 		attempt, cancel := context.WithTimeout(ctx, finishTimeout)
 		done := e.handover.give(attempt)
@@ -84,7 +85,7 @@
 			e.log.WithFields(logrus.Fields{"event": "no_successor", "answers": e.router.submissions.table.Len()}).
 				Warn("no entry takes the answers; they are served here until the stop times out")
 		}
-		if !sleep(patience, handoverRetry) {
+		if !sleep(stopCtx, handoverRetry) {
 			e.log.WithFields(logrus.Fields{"event": "answers_lost", "answers": e.router.submissions.table.Len()}).
 				Warn("no entry took the answers; they end with this process")
 			return
@@ -92,7 +93,7 @@
 	}
 }
 
-// nothingToKeep tells whether no caller can come back for an answer and no peer is there
+// nothingToKeep reports whether no caller can come back for an answer and no peer is there
 // to be told so.
 func (e *Entry) nothingToKeep() bool {
 	return e.router.submissions.table.Len() == 0 && len(e.members.successorCandidates()) == 0
@@ -137,10 +138,11 @@
 	return true
 }
 
-// leadAway makes callers that keep connections open come back by a new one, which the
-// balancer leads to another entry, once this one is stopping. Closing the connections
-// instead would cut off the requests just being sent on them.
-func (e *Entry) leadAway(next http.Handler) http.Handler {
+// trackRequests counts callers' requests in flight. Once the entry is stopping it answers
+// with "Connection: close": a caller's next request then comes on a new connection, which
+// the balancer directs to another entry. Closing the connections instead would cut off the
+// requests just being sent on them.
+func (e *Entry) trackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.stopping.Load() {
 			w.Header().Set("Connection", "close")
@@ -151,7 +153,7 @@
 	})
 }
 
-// refusesNew says why callers' new work is refused, nil when it is not. An entry that
+// refusesNew returns why callers' new work is refused, nil when it is not. An entry that
 // is not ready because it stops still serves during the stop delay.
 func (e *Entry) refusesNew() *verdict.Failure {
 	if e.sealed.Load() {
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -107,14 +107,14 @@
 // takeLeaving notes workers that said that they are leaving.
 func (w *workers) takeLeaving(list []*schema.LeavingWorker) {
 	w.mu.Lock()
-	news := false
+	changed := false
 	for _, l := range list {
 		if w.leaving.Notice(w.clock.Now(), l.GetAddress(), time.Duration(l.GetAgeMs())*time.Millisecond) {
-			news = true
+			changed = true
 		}
 	}
 	w.mu.Unlock()
-	if news {
+	if changed {
 		w.update()
 	}
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -12,8 +12,8 @@
 var (
 	// errDown: the peer could not be reached lately.
 	errDown = errors.New("the peer can't be reached now")
-	// errForgotten: the connection was closed while it was made.
-	errForgotten = errors.New("the peer is no longer called")
+	// errLinkClosed: the connection was closed while it was made.
+	errLinkClosed = errors.New("the peer is no longer called")
 )
 
 // link is the connection to one peer, shared by all calls.
@@ -34,14 +34,14 @@
 	used  time.Time
 }
 
-// begin counts a call.
+// begin counts a call as in progress, which keeps closeIdle from closing its connection.
 func (l *link) begin() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 }
 
-// end ends a call.
+// end counts a call as over and starts the idle time anew.
 func (l *link) end() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,7 +116,7 @@
 	return nil, l.attempt, l.down
 }
 
-// make makes a connection.
+// make dials, wakes the calls that wait for the attempt and notes whether the peer is down.
 func (l *link) make(a *attempt) {
 	defer close(a.done)
 	a.conn, a.err = l.dial()
@@ -128,7 +128,7 @@
 	case a.err != nil:
 	case l.closed:
 		closeConn(a.conn)
-		a.conn, a.err = nil, errForgotten
+		a.conn, a.err = nil, errLinkClosed
 	default:
 		l.conn = a.conn
 		l.made = time.Now()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// answer serves one request.
+// answer serves the one request of a stream; what can't be read resets the stream.
 func (s *Server) answer(c *quic.Conn, st *quic.Stream) {
 	defer st.Close()
 	var r schema.Request
--- a/submission/predecessors.go
+++ b/submission/predecessors.go
@@ -73,7 +73,7 @@
 	t.complete = t.complete || last
 }
 
-// Has tells whether a process handed everything over to this one.
+// Has reports whether a process handed everything over to this one.
 func (p *Predecessors) Has(s Process) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -81,7 +81,7 @@
 	return t != nil && t.complete
 }
 
-// NeverStarted tells whether it is certain that nothing started under an identifier
+// NeverStarted reports whether it is certain that nothing started under an identifier
 // of a predecessor that has no adopted record. The predecessor kept each record at
 // least until its identifier's window was over, so within the window a missing record
 // means that there never was one; after it nothing can be told.
--- a/submission/table.go
+++ b/submission/table.go
@@ -104,7 +104,7 @@
 	return &t.shards[xxhash.Sum64String(id)%shardCount]
 }
 
-// Begin finds the record of a verified identifier or makes it; first tells that it
+// Begin finds the record of a verified identifier or makes it; first reports that it
 // was made, which gives the right to start its tasks and must be followed by End. A
 // record whose request was refused gives way to another body.
 //
@@ -149,7 +149,7 @@
 	return r, first, err
 }
 
-// make makes a record. Called under the shard's lock.
+// make adds a record, or returns why it must not. Called under the shard's lock.
 func (t *Table) make(s *tableShard, id ID, team string, digest Digest, now time.Duration) (*Record, bool, *verdict.Failure) {
 	// Without this check a late copy of a request would start it again once the
 	// record is gone. The record is kept until the window is over, so a copy always
