--- a/sched/health.go
+++ b/sched/health.go
@@ -119,12 +119,24 @@
 	}
 }
 
+// smallDomain is the number of workers below which a failure domain is too small to be
+// judged by itself.
+const smallDomain = 3
+
 // manyEjected tells whether one more ejection would leave less than half of a failure
-// domain's workers.
+// domain's workers, or of all workers when the domain is small: its only worker would
+// never be ejected, and one that fails at once draws the tasks of the others.
 func (s *Scheduler) manyEjected(domain string) bool {
-	all, ejected := 0, 1
+	all, ejected := s.countEjected(func(w *worker) bool { return w.Domain == domain })
+	if all < smallDomain {
+		all, ejected = s.countEjected(func(*worker) bool { return true })
+	}
+	return 2*(ejected+1) > all
+}
+
+func (s *Scheduler) countEjected(of func(*worker) bool) (all, ejected int) {
 	for _, w := range s.list {
-		if w.Domain != domain {
+		if !of(w) {
 			continue
 		}
 		all++
@@ -132,11 +144,11 @@
 			ejected++
 		}
 	}
-	return 2*ejected > all
+	return all, ejected
 }
 
 // eject keeps a worker without tasks for a while, then on probation. Never more than
-// half of a domain's workers are ejected: when most look bad, the cause lies elsewhere
+// half of the workers (see manyEjected) are ejected: when most look bad, the cause lies elsewhere
 // and the rest could not carry the load.
 func (s *Scheduler) eject(now time.Duration, w *worker) {
 	if w.ejected || s.manyEjected(w.Domain) {
--- a/sched/health_test.go
+++ b/sched/health_test.go
@@ -198,3 +198,23 @@
 		})
 	}
 }
+
+// A failure domain's only worker breaks every task at once, while four workers of
+// another domain do well. It is ejected all the same: half of its own domain says
+// nothing when that is one worker, and it would draw most of the tasks.
+func TestOnlyWorkerOfDomainIsEjected(t *testing.T) {
+	f := newFleet(t, 0)
+	list := []sched.Worker{{Address: address(0), Domain: "b", Slots: 2, Total: 2}}
+	for i := 1; i <= 4; i++ {
+		list = append(list, sched.Worker{Address: address(i), Domain: "a", Slots: 2, Total: 2})
+	}
+	f.SetWorkers(0, list)
+	f.behave = func(worker, _ string) (time.Duration, *verdict.Failure) {
+		if worker == address(0) {
+			return 0, errFailed
+		}
+		return 30 * ms, nil
+	}
+	f.run(5*time.Second, "quote")
+	assert.Assert(t, f.failed <= 5, "%d of 500 jobs failed", f.failed)
+}
