--- a/internal/clock/pause.go
+++ b/internal/clock/pause.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// pauseLimit is how late a beat may be before the process counts as paused.
-	pauseLimit = time.Second
+	// PauseLimit is how late a step may be before the process counts as paused: far above
+	// what scheduling and collecting garbage cost, below the time after which peers take
+	// a silent entry's slots.
+	PauseLimit = time.Second
 	// drainTime is the time after a pause within which requests that waited unread in
 	// the sockets are read.
 	drainTime = time.Second
@@ -44,7 +46,7 @@
 }
 
 func (p *Pauses) step(now time.Duration) {
-	if now-p.beat > pauseLimit {
+	if now-p.beat > PauseLimit {
 		p.paused, p.resumed = p.beat, now
 	}
 	p.beat = max(p.beat, now)
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -190,7 +190,7 @@
 	late := now - d.stepped
 	first := d.stepped == 0
 	d.stepped = now
-	if first || late <= pauseLimit {
+	if first || late <= clock.PauseLimit {
 		return
 	}
 	d.holds++
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -15,11 +15,6 @@
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
-// pauseLimit is how late a tick may be before the process counts as paused: far above
-// what scheduling and collecting garbage cost, below the time after which peers take a
-// silent entry's slots.
-const pauseLimit = time.Second
-
 // refreshPause is the pause before the peers are asked again.
 const refreshPause = 20 * time.Millisecond
 
@@ -196,7 +191,7 @@
 	changed := false
 	m.with(func(v *member.View) {
 		now := m.clock.Now()
-		if late := now - m.lastBeat - m.interval; m.lastBeat != 0 && late > pauseLimit {
+		if late := now - m.lastBeat - m.interval; m.lastBeat != 0 && late > clock.PauseLimit {
 			v.Paused(now, late)
 		}
 		m.lastBeat = now
