--- /dev/null
+++ b/capacity/vector.go
@@ -0,0 +1,48 @@
+// Package capacity measures what a worker has and what a task needs.
+package capacity
+
+// Vector is an amount of each resource of a worker.
+type Vector struct {
+	// MilliCPU is in thousandths of a core.
+	MilliCPU int64
+	// MemoryMB is in megabytes.
+	MemoryMB int64
+	// GPUs is a number of accelerators.
+	GPUs int64
+}
+
+// Fits reports whether v is available where free is left.
+func (v Vector) Fits(free Vector) bool {
+	return v.MilliCPU <= free.MilliCPU && v.MemoryMB <= free.MemoryMB && v.GPUs <= free.GPUs
+}
+
+// Plus returns the sum.
+func (v Vector) Plus(w Vector) Vector {
+	return Vector{v.MilliCPU + w.MilliCPU, v.MemoryMB + w.MemoryMB, v.GPUs + w.GPUs}
+}
+
+// Minus returns the difference, which is negative where w is larger.
+func (v Vector) Minus(w Vector) Vector {
+	return Vector{v.MilliCPU - w.MilliCPU, v.MemoryMB - w.MemoryMB, v.GPUs - w.GPUs}
+}
+
+// Copies returns how often v fits into free; max bounds the result.
+func (v Vector) Copies(free Vector, max int) int {
+	n := int64(max)
+	for _, r := range [...][2]int64{{v.MilliCPU, free.MilliCPU}, {v.MemoryMB, free.MemoryMB}, {v.GPUs, free.GPUs}} {
+		switch {
+		case r[0] > 0:
+			n = min(n, r[1]/r[0])
+		case r[1] < 0:
+			return 0
+		}
+	}
+	return int(maxInt64(n, 0))
+}
+
+func maxInt64(a, b int64) int64 {
+	if a > b {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,432 @@
+package coordinator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+const (
+	// lostWait is how long a task whose executor is gone may stay unresolved: by then a
+	// successor has taken its workers over, or none will in time for the caller.
+	lostWait = 600 * time.Millisecond
+	// maxOffers bounds the tries to place one task.
+	maxOffers = 12
+	// minRetryAfter is the least time after which a refused caller is told to come back.
+	minRetryAfter = 500 * time.Millisecond
+)
+
+// Message is for an executor: one of its fields is set.
+type Message struct {
+	To member.Process
+	// Offer hands over tasks.
+	Offer []task.Task
+	// Withdraw takes tasks back.
+	Withdraw []task.ID
+	// Claims answers a takeover.
+	Claims *executor.Claims
+}
+
+// Output is what the embedder has to carry out. Messages to one executor have to arrive
+// in their order: a withdrawal that overtakes its offer would leave the task running.
+type Output struct {
+	Messages []Message
+	Answers  []Answer
+	Events   []executor.Event
+}
+
+// Coordinator brings jobs to their answers. It is not safe for concurrent use.
+type Coordinator struct {
+	self  member.Process
+	jobs  map[string]*job
+	rooms rooms
+	out   Output
+	// takenOver holds, for a lost executor, its workers that no successor has taken over yet.
+	takenOver map[member.Process]map[string]bool
+}
+
+// New returns a coordinator of the given process.
+func New(self member.Process) *Coordinator {
+	return &Coordinator{self: self, jobs: make(map[string]*job), takenOver: make(map[member.Process]map[string]bool)}
+}
+
+// Drain returns what the embedder has to carry out since the last call.
+func (c *Coordinator) Drain() Output {
+	o := c.out
+	c.out = Output{}
+	return o
+}
+
+// SetHolder takes what an executor tells of its workers.
+func (c *Coordinator) SetHolder(h Holder) { c.rooms.set(h) }
+
+// Jobs returns the number of jobs without an answer.
+func (c *Coordinator) Jobs() int { return len(c.jobs) }
+
+// Has reports whether the job is under way here.
+func (c *Coordinator) Has(id string) bool { return c.jobs[id] != nil }
+
+// Submit takes a job. Its answer comes through Drain, at once where it is refused.
+func (c *Coordinator) Submit(now time.Duration, j Job) {
+	n := newJob(now, j)
+	c.jobs[j.ID] = n
+	if reason, after := c.refusal(now, n); reason != "" {
+		c.answer(now, n, Refused, reason, after)
+		return
+	}
+	c.release(now, n)
+}
+
+// refusal decides whether a job can't be served. While there is room for its first
+// tasks it is never refused.
+func (c *Coordinator) refusal(now time.Duration, j *job) (Reason, time.Duration) {
+	var worst time.Duration
+	for _, t := range j.tasks {
+		if !j.ready(t.ID.Step) {
+			continue
+		}
+		h, wait := c.rooms.queue(&t.Task)
+		if h == nil {
+			return ReasonNoWorkers, minRetryAfter
+		}
+		worst = max(worst, wait)
+	}
+	if slack := j.due - now - longestChain(j.Steps); worst > slack {
+		return ReasonNoRoom, max(worst-slack, minRetryAfter)
+	}
+	return "", 0
+}
+
+// release offers the tasks whose turn has come.
+func (c *Coordinator) release(now time.Duration, j *job) {
+	for _, t := range j.tasks {
+		if t.state == blocked && j.ready(t.ID.Step) {
+			c.offer(now, j, t)
+			if j.ended {
+				return
+			}
+		}
+	}
+}
+
+// offer places one task.
+func (c *Coordinator) offer(now time.Duration, j *job, t *jobTask) {
+	h := c.rooms.take(&t.Task)
+	if h == nil {
+		if h, _ = c.rooms.queue(&t.Task); h != nil {
+			h.charge(&t.Task)
+		}
+	}
+	switch {
+	case h == nil:
+		c.giveUp(now, j, ReasonNoWorkers)
+		return
+	case t.offers >= maxOffers:
+		c.giveUp(now, j, ReasonNoRoom)
+		return
+	}
+	t.Run++
+	t.offers++
+	t.state, t.holder, t.worker = offered, h.Process, ""
+	for i := len(c.out.Messages) - 1; i >= 0; i-- {
+		if m := &c.out.Messages[i]; m.To == h.Process {
+			if m.Offer == nil {
+				break
+			}
+			m.Offer = append(m.Offer, t.Task)
+			return
+		}
+	}
+	c.out.Messages = append(c.out.Messages, Message{To: h.Process, Offer: []task.Task{t.Task}})
+}
+
+// Reported takes an executor's report.
+func (c *Coordinator) Reported(now time.Duration, from member.Process, r task.Report) {
+	j := c.jobs[r.ID.Job]
+	if j == nil {
+		return
+	}
+	t := j.find(r.ID)
+	if t == nil || t.state != offered || t.holder != from || r.Run < t.Run {
+		return
+	}
+	t.Run = r.Run // an executor may raise the number where a worker has seen it
+	switch r.Outcome {
+	case task.Started:
+		j.mayHaveRun, t.worker = true, r.Worker
+	case task.Done:
+		c.taskDone(now, j, t)
+	case task.Failed:
+		j.mayHaveRun = true
+		c.taskFailed(now, j, t, r)
+	case task.Gone:
+		j.mayHaveRun = true
+		c.restart(now, j, t, r)
+	case task.NotRun:
+		c.notRun(now, j, t, r)
+	case task.Moved:
+		j.mayHaveRun = true
+		t.worker = r.Worker
+		c.lose(now, t)
+	}
+}
+
+func (c *Coordinator) taskDone(now time.Duration, j *job, t *jobTask) {
+	j.mayHaveRun = true
+	t.state = done
+	j.left[t.ID.Step]--
+	for _, n := range j.left {
+		if n > 0 {
+			c.release(now, j)
+			return
+		}
+	}
+	c.answer(now, j, Completed, "", 0)
+}
+
+func (c *Coordinator) taskFailed(now time.Duration, j *job, t *jobTask, r task.Report) {
+	t.failures++
+	t.state = blocked
+	if t.failures >= j.Attempts {
+		c.answer(now, j, TaskFailed, "", 0)
+		return
+	}
+	t.Avoid = append(t.Avoid, r.Worker)
+	c.restart(now, j, t, r)
+}
+
+// restart offers a task again whose run is proved over, unless it can't end in time.
+func (c *Coordinator) restart(now time.Duration, j *job, t *jobTask, r task.Report) {
+	t.state = blocked
+	c.event("task_restarted", t, fmt.Sprintf("outcome=%s reason=%s failures=%d", r.Outcome, r.Reason, t.failures))
+	if now >= t.StartBy {
+		c.giveUp(now, j, ReasonTooLate)
+		return
+	}
+	if r.Outcome == task.Gone && r.Worker != "" {
+		t.Avoid = append(t.Avoid, r.Worker)
+	}
+	c.offer(now, j, t)
+}
+
+func (c *Coordinator) notRun(now time.Duration, j *job, t *jobTask, r task.Report) {
+	t.state = blocked
+	if r.Reason == executor.ReasonNoRoom || now >= t.StartBy {
+		c.giveUp(now, j, ReasonNoRoom)
+		return
+	}
+	if r.Reason == executor.ReasonNoWorker {
+		if h := c.rooms.get(t.holder); h != nil {
+			delete(h.Capacity, t.Service)
+			h.Rooms = nil
+		}
+	}
+	c.event("task_offered_again", t, r.Reason)
+	c.offer(now, j, t)
+}
+
+func (c *Coordinator) event(name string, t *jobTask, detail string) {
+	c.out.Events = append(c.out.Events, executor.Event{Name: name, ID: t.ID, Run: t.Run, Worker: t.worker, Detail: detail})
+}
+
+// lose marks a task whose run nobody known looks after.
+func (c *Coordinator) lose(now time.Duration, t *jobTask) {
+	t.state = lost
+	t.lostBy = now + lostWait
+}
+
+// HolderLost tells that an executor is gone or can't be reached. What it ran is claimed
+// from its successors.
+func (c *Coordinator) HolderLost(now time.Duration, p member.Process) {
+	workers := make(map[string]bool)
+	if h := c.rooms.get(p); h != nil {
+		for _, r := range h.Rooms {
+			workers[r.Worker] = true
+		}
+	}
+	c.rooms.remove(p)
+	affected := false
+	for _, j := range c.sorted() {
+		for _, t := range j.tasks {
+			if t.state == offered && t.holder == p {
+				c.lose(now, t)
+				affected = true
+			}
+		}
+	}
+	if affected {
+		c.takenOver[p] = workers
+	}
+}
+
+// TakenOver answers a successor's question about a worker.
+func (c *Coordinator) TakenOver(now time.Duration, from member.Process, t executor.Takeover) {
+	running := make(map[task.ID]uint32)
+	for _, r := range t.Running {
+		running[r.ID] = r.Run
+	}
+	claims := executor.Claims{Owner: c.self, Worker: t.Worker}
+	for _, r := range t.Running {
+		if jt := c.lookup(r.ID); jt != nil && jt.state != done && jt.Run <= r.Run && (jt.state == lost || jt.worker == t.Worker || jt.worker == "") {
+			jt.Run, jt.state, jt.holder, jt.worker = r.Run, offered, from, t.Worker
+			c.jobs[r.ID.Job].mayHaveRun = true
+			claims.Tasks = append(claims.Tasks, jt.Task)
+			c.event("task_claimed", jt, "running")
+		}
+	}
+	for _, r := range t.Ended {
+		c.endedBefore(now, t.Worker, r)
+	}
+	for _, j := range c.sorted() {
+		c.missing(now, j, t.Worker, running)
+	}
+	c.resolveHolders(now, t.Worker)
+	c.out.Messages = append(c.out.Messages, Message{To: from, Claims: &claims})
+}
+
+// endedBefore takes an end that the worker listed for an earlier holder.
+func (c *Coordinator) endedBefore(now time.Duration, workerID string, r task.RunningTask) {
+	t := c.lookup(r.ID)
+	if t == nil || t.Run != r.Run || t.state != lost && t.worker != workerID {
+		return
+	}
+	j := c.jobs[r.ID.Job]
+	report := task.Report{ID: r.ID, Run: r.Run, Worker: workerID, Outcome: task.Gone, Reason: "ended_before_takeover"}
+	switch {
+	case t.state == done || t.state == blocked:
+	case r.Done:
+		c.taskDone(now, j, t)
+	case r.Failed:
+		c.taskFailed(now, j, t, report)
+	default:
+		c.restart(now, j, t, report)
+	}
+}
+
+// missing restarts tasks that ran on the worker and are not on its list any more.
+func (c *Coordinator) missing(now time.Duration, j *job, workerID string, running map[task.ID]uint32) {
+	for _, t := range j.tasks {
+		if j.ended {
+			return
+		}
+		if _, ok := running[t.ID]; ok || t.worker != workerID || t.state != lost {
+			continue
+		}
+		c.restart(now, j, t, task.Report{ID: t.ID, Run: t.Run, Worker: workerID, Outcome: task.Gone, Reason: "not_listed_at_takeover"})
+	}
+}
+
+// resolveHolders restarts what waited at a lost executor once all its workers were taken
+// over and none of them listed it.
+func (c *Coordinator) resolveHolders(now time.Duration, workerID string) {
+	for p, workers := range c.takenOver {
+		delete(workers, workerID)
+		if len(workers) > 0 {
+			continue
+		}
+		delete(c.takenOver, p)
+		for _, j := range c.sorted() {
+			for _, t := range j.tasks {
+				if !j.ended && t.state == lost && t.holder == p && t.worker == "" {
+					c.restart(now, j, t, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Gone, Reason: "holder_succeeded"})
+				}
+			}
+		}
+	}
+}
+
+func (c *Coordinator) lookup(id task.ID) *jobTask {
+	if j := c.jobs[id.Job]; j != nil {
+		return j.find(id)
+	}
+	return nil
+}
+
+// Cancel ends a job whose caller has gone or doesn't want it any more: what runs is stopped.
+func (c *Coordinator) Cancel(now time.Duration, id string) {
+	if j := c.jobs[id]; j != nil {
+		c.withdraw(j)
+		c.drop(j)
+	}
+}
+
+// Tick lets time pass: deadlines and lost tasks.
+func (c *Coordinator) Tick(now time.Duration) {
+	for _, j := range c.sorted() {
+		if now >= j.Deadline {
+			c.giveUp(now, j, ReasonDeadline)
+			continue
+		}
+		for _, t := range j.tasks {
+			if !j.ended && t.state == lost && now >= t.lostBy {
+				c.giveUp(now, j, ReasonHolderLost)
+			}
+		}
+	}
+}
+
+// giveUp ends a job that can't be answered well: as refused where it is certain that no
+// task has run or will.
+func (c *Coordinator) giveUp(now time.Duration, j *job, why Reason) {
+	status := GivenUp
+	if !j.mayHaveRun && !j.outstanding() {
+		status = Refused
+	}
+	c.answer(now, j, status, why, minRetryAfter)
+}
+
+// outstanding reports whether an executor may still start a task.
+func (j *job) outstanding() bool {
+	for _, t := range j.tasks {
+		if t.state == offered || t.state == lost {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) answer(now time.Duration, j *job, s Status, why Reason, after time.Duration) {
+	if j.ended {
+		return
+	}
+	c.withdraw(j)
+	c.out.Answers = append(c.out.Answers, Answer{Job: j.ID, Status: s, Reason: why, RetryAfter: after, Waited: now - j.began})
+	c.drop(j)
+}
+
+func (c *Coordinator) drop(j *job) {
+	j.ended = true
+	delete(c.jobs, j.ID)
+}
+
+// withdraw takes back what executors have of a job.
+func (c *Coordinator) withdraw(j *job) {
+	byHolder := make(map[member.Process]int)
+	for _, t := range j.tasks {
+		if t.state != offered && t.state != lost {
+			continue
+		}
+		at, ok := byHolder[t.holder]
+		if !ok {
+			at = len(c.out.Messages)
+			byHolder[t.holder] = at
+			c.out.Messages = append(c.out.Messages, Message{To: t.holder})
+		}
+		c.out.Messages[at].Withdraw = append(c.out.Messages[at].Withdraw, t.ID)
+	}
+}
+
+// sorted returns the jobs in a repeatable order.
+func (c *Coordinator) sorted() []*job {
+	list := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int { return cmp.Or(cmp.Compare(a.began, b.began), cmp.Compare(a.ID, b.ID)) })
+	return list
+}
--- /dev/null
+++ b/coordinator/job.go
@@ -0,0 +1,175 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// Job is a caller's request.
+type Job struct {
+	ID      string
+	Service string
+	Payload string
+	Steps   []Step
+	// Attempts is how often a task may fail before the job has failed.
+	Attempts int
+	// Priority 0 is the most urgent.
+	Priority int
+	// Stretch and Target give the time within which the answer is on time: Stretch times
+	// the longest chain of work, and Target more.
+	Stretch float64
+	Target  time.Duration
+	// Deadline is when the caller stops waiting, on the coordinator's clock.
+	Deadline time.Duration
+}
+
+// Step is a number of equal tasks.
+type Step struct {
+	Count    int
+	Demand   capacity.Vector
+	Label    string
+	Expected time.Duration
+	// After lists the steps, by place, that have to be done first.
+	After []int
+}
+
+// Status is how a job ended.
+type Status uint8
+
+// Statuses.
+const (
+	// Completed: all tasks are done.
+	Completed Status = iota + 1
+	// TaskFailed: a task has failed as often as it may.
+	TaskFailed
+	// Refused: nothing of the job has run or ever will.
+	Refused
+	// GivenUp: the job may have run and will not be answered in time.
+	GivenUp
+)
+
+// String returns the status's name in logs and counters.
+func (s Status) String() string {
+	names := [...]string{"unknown", "completed", "task_failed", "refused", "given_up"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return names[0]
+}
+
+// Reason says why a job was refused or given up, in logs and counters.
+type Reason string
+
+// Reasons.
+const (
+	ReasonTooLarge   Reason = "too_large"
+	ReasonNoWorkers  Reason = "no_workers"
+	ReasonNoRoom     Reason = "no_room"
+	ReasonDeadline   Reason = "deadline"
+	ReasonHolderLost Reason = "holder_lost"
+	ReasonTooLate    Reason = "too_late_to_restart"
+	ReasonStopping   Reason = "stopping"
+)
+
+// Answer is the one answer of a job.
+type Answer struct {
+	Job        string
+	Status     Status
+	Reason     Reason
+	RetryAfter time.Duration
+	// Waited is the time since the job came.
+	Waited time.Duration
+}
+
+// taskState is where a task is.
+type taskState uint8
+
+const (
+	// blocked: steps before it are not done.
+	blocked taskState = iota
+	// offered: an executor has it.
+	offered
+	// lost: the executor that had it is gone or lost the worker; the run may go on.
+	lost
+	done
+)
+
+// jobTask is a task of a job.
+type jobTask struct {
+	task.Task
+	state  taskState
+	holder member.Process
+	worker string
+	// failures counts runs that failed, offers all tries.
+	failures, offers int
+	// lostBy is when a lost task is given up.
+	lostBy time.Duration
+}
+
+// job is a job that has no answer yet.
+type job struct {
+	Job
+	began time.Duration
+	due   time.Duration
+	tasks []*jobTask
+	// left counts the tasks of each step that are not done.
+	left []int
+	// mayHaveRun is set once a worker may have started a task.
+	mayHaveRun bool
+	// out counts the tasks that are offered or lost.
+	ended bool
+}
+
+// newJob lays out the tasks.
+func newJob(now time.Duration, j Job) *job {
+	n := &job{Job: j, began: now, left: make([]int, len(j.Steps))}
+	n.due = now + time.Duration(j.Stretch*float64(longestChain(j.Steps))) + j.Target
+	for s, step := range j.Steps {
+		n.left[s] = step.Count
+		for i := range step.Count {
+			n.tasks = append(n.tasks, &jobTask{Task: task.Task{
+				ID: task.ID{Job: j.ID, Step: uint32(s), Index: uint32(i)}, Service: j.Service, Label: step.Label,
+				Payload: j.Payload, Demand: step.Demand, Priority: j.Priority, Expected: step.Expected,
+				Due: n.due, StartBy: j.Deadline - step.Expected/2,
+			}})
+		}
+	}
+	return n
+}
+
+// longestChain returns the expected time of the longest chain of steps. Steps depend on
+// earlier ones only.
+func longestChain(steps []Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i, s := range steps {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += s.Expected
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// ready reports whether the steps before s are done.
+func (j *job) ready(s uint32) bool {
+	for _, a := range j.Steps[s].After {
+		if j.left[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) find(id task.ID) *jobTask {
+	for _, t := range j.tasks {
+		if t.ID == id {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/executor/answers.go
@@ -0,0 +1,373 @@
+package executor
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// Answered takes a worker's answer to a call.
+func (e *Executor) Answered(now time.Duration, c Call, a Answer) {
+	w := e.workers[c.Worker]
+	if w == nil {
+		return
+	}
+	if a.Verdict == OK {
+		w.read(a.Clock, now)
+	}
+	switch c.Kind {
+	case CallStart:
+		e.startAnswered(now, w, c, a)
+	case CallStop:
+		e.stopAnswered(now, w, c, a)
+	case CallPoll:
+		e.pollAnswered(now, w, c, a)
+	}
+	e.step(now)
+}
+
+func (e *Executor) startAnswered(now time.Duration, w *worker, c Call, a Answer) {
+	r := w.runs[c.ID]
+	if r == nil || r.num != c.Run {
+		return
+	}
+	if a.Verdict != OK {
+		e.event("start_answered", w, r, a.Verdict.String())
+	}
+	switch a.Verdict {
+	case OK:
+		e.confirm(r, w, a.Clock)
+	case Unknown:
+		if r.state == starting {
+			r.state = doubtful
+		}
+		e.look(now, w)
+	case Outdated:
+		// Another daemon has run this task here, and that run is over.
+		if r.state == starting && r.num < maxRunJump {
+			r.num++
+			e.call(now, w, Call{Kind: CallStart, Task: r.task, ID: r.id, Run: r.num, Deadline: r.deadline})
+			return
+		}
+		e.giveBack(now, w, r, "run_number_taken")
+	case Replaced:
+		e.workerDied(now, w)
+	case Fenced:
+		e.requeue(now, w, r)
+		e.taken(now, w)
+	case Full:
+		w.pausedUntil = max(w.pausedUntil, now+roomPause)
+		e.requeue(now, w, r)
+	case Late:
+		// Our idea of the worker's clock is behind: the answer tells the right one.
+		w.clock = clock{a.Clock, now}
+		e.requeue(now, w, r)
+	case Unhealthy, Unsent:
+		w.closeFor(now, shedPause)
+		e.requeue(now, w, r)
+	default:
+		e.giveBack(now, w, r, "invalid")
+	}
+}
+
+// confirm notes that the worker has said that the run is there.
+func (e *Executor) confirm(r *run, w *worker, clockMS int64) {
+	if r.since == 0 || clockMS < r.since {
+		r.since = clockMS
+	}
+	if r.state == starting || r.state == doubtful {
+		r.state = running
+		e.report(r.owner, task.Report{ID: r.id, Run: r.num, Outcome: task.Started, Worker: w.info.ID})
+	}
+}
+
+// requeue puts a task back whose start was refused: it has not run.
+func (e *Executor) requeue(now time.Duration, w *worker, r *run) {
+	w.remove(r)
+	if r.discard {
+		return
+	}
+	q := &queued{task: r.task, owner: r.owner, since: now}
+	at, _ := slices.BinarySearchFunc(e.queue, q, before)
+	e.queue = slices.Insert(e.queue, at, q)
+}
+
+// giveBack returns a task that has not run to its coordinator.
+func (e *Executor) giveBack(_ time.Duration, w *worker, r *run, reason string) {
+	w.remove(r)
+	if !r.discard {
+		e.report(r.owner, task.Report{ID: r.id, Run: r.num, Outcome: task.NotRun, Worker: w.info.ID, Reason: reason})
+	}
+}
+
+func (e *Executor) stopAnswered(now time.Duration, w *worker, c Call, a Answer) {
+	r := w.runs[c.ID]
+	switch {
+	case a.Verdict == Replaced:
+		e.workerDied(now, w)
+	case a.Verdict == Fenced:
+		e.taken(now, w)
+	case r == nil || r.num != c.Run:
+	case a.Verdict == OK:
+		if r.stopped == 0 {
+			r.stopped = a.Clock
+		}
+		w.nextLook = max(w.nextLook, now+e.config.StopWithin)
+	}
+}
+
+// end removes a run that is proved over and reports it.
+func (e *Executor) end(now time.Duration, w *worker, r *run, o task.Outcome, reason string) {
+	w.remove(r)
+	if r.discard || r.task == nil {
+		return
+	}
+	e.report(r.owner, task.Report{ID: r.id, Run: r.num, Outcome: o, Worker: w.info.ID, Reason: reason})
+	e.judge(now, w, o)
+}
+
+// judge closes a worker whose runs fail in a row.
+func (e *Executor) judge(now time.Duration, w *worker, o task.Outcome) {
+	switch o {
+	case task.Done:
+		w.failures, w.pause = 0, 0
+	case task.Failed:
+		if w.failures++; w.failures >= failuresToEject {
+			w.closeFor(now, shedPause)
+			e.event("worker_ejected", w, nil, fmt.Sprintf("failures=%d pause=%s", w.failures, w.pause))
+		}
+	}
+}
+
+// endAll reports all runs of a worker that is gone.
+func (e *Executor) endAll(now time.Duration, w *worker, reason string) {
+	for _, r := range w.sorted() {
+		e.end(now, w, r, task.Gone, reason)
+	}
+}
+
+func (w *worker) sorted() []*run {
+	list := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int { return int(a.began - b.began) })
+	return list
+}
+
+// workerDied acts on the proof that the incarnation is over: nothing of it runs.
+func (e *Executor) workerDied(now time.Duration, w *worker) {
+	e.event("worker_died", w, nil, fmt.Sprintf("runs=%d", len(w.runs)))
+	e.endAll(now, w, "worker_died")
+	w.phase, w.silent = acquiring, w.silent+1
+	w.token = 0
+	w.clock, w.granted, w.cursor = clock{}, 0, 0
+	w.nextPoll = now + retryAcquire
+}
+
+// taken acts on a higher token: another executor holds the worker. What runs there goes
+// on; the new holder asks the coordinators for it.
+func (e *Executor) taken(now time.Duration, w *worker) {
+	if w.phase == yielded || w.phase == released {
+		return
+	}
+	e.event("worker_taken", w, nil, fmt.Sprintf("runs=%d", len(w.runs)))
+	for _, r := range w.sorted() {
+		w.remove(r)
+		if !r.discard && r.task != nil {
+			e.report(r.owner, task.Report{ID: r.id, Run: r.num, Outcome: task.Moved, Worker: w.info.ID, Reason: "worker_taken"})
+		}
+	}
+	w.phase = yielded
+	w.nextPoll = now + yieldTime
+}
+
+func (e *Executor) pollAnswered(now time.Duration, w *worker, c Call, a Answer) {
+	if c.look {
+		w.looking = false
+	} else {
+		w.polling = false
+	}
+	if c.Token != w.token {
+		return
+	}
+	switch a.Verdict {
+	case OK:
+		w.silent = 0
+		e.listed(now, w, a)
+	case Replaced:
+		e.workerDied(now, w)
+		return
+	case Fenced:
+		if w.phase == acquiring {
+			// Someone holds it with a higher token than ours, perhaps by a faster clock.
+			w.nextPoll = now + yieldTime
+			w.phase = yielded
+			return
+		}
+		e.taken(now, w)
+		return
+	default:
+		w.silent++
+		if w.silent == 1 {
+			e.event("worker_silent", w, nil, a.Verdict.String())
+		}
+		if w.phase == acquiring {
+			w.nextPoll = now + retryAcquire
+			return
+		}
+	}
+	if !c.look && !w.polling && (w.phase == held || w.phase == claiming) {
+		e.poll(now, w)
+	}
+}
+
+// listed takes in a worker's lists.
+func (e *Executor) listed(now time.Duration, w *worker, a Answer) {
+	if w.phase == acquiring {
+		e.acquired(now, w, a)
+		return
+	}
+	for _, f := range a.Ended {
+		if f.Number <= w.cursor {
+			continue
+		}
+		w.cursor = f.Number
+		if r := w.runs[f.ID]; r != nil && r.num == f.Run {
+			e.end(now, w, r, outcomeOf(f), f.How)
+		}
+	}
+	shown := make(map[task.ID]Listed, len(a.Running))
+	for _, l := range a.Running {
+		shown[l.ID] = l
+	}
+	for _, r := range w.sorted() {
+		if l, ok := shown[r.id]; ok && l.Run == r.num {
+			e.confirm(r, w, a.Clock)
+			if l.Percent != r.percent {
+				r.percent, r.changed = l.Percent, now
+			}
+			continue
+		}
+		if len(a.Ended) < listLimit {
+			e.absent(now, w, r, a.Clock)
+		}
+	}
+}
+
+func outcomeOf(f Ended) task.Outcome {
+	switch {
+	case f.Done:
+		return task.Done
+	case f.Failed:
+		return task.Failed
+	default:
+		return task.Gone
+	}
+}
+
+// absent judges a run that a complete list made at the given clock does not show.
+func (e *Executor) absent(now time.Duration, w *worker, r *run, clockMS int64) {
+	switch {
+	case r.since > 0 && clockMS > r.since:
+		e.end(now, w, r, task.Gone, "vanished")
+	case r.stopped > 0 && clockMS > r.stopped+e.config.StopWithin.Milliseconds():
+		e.end(now, w, r, task.Gone, "stopped_before_start")
+	case r.deadline > 0 && clockMS > r.deadline:
+		// The start can't be carried out any more, and it has left no trace.
+		e.end(now, w, r, task.Gone, "never_started")
+	case r.state == doubtful && r.stopSent == 0:
+		// It may still be on its way; a stop seals that it never starts.
+		state := r.state
+		e.stop(now, w, r)
+		r.state = state
+	}
+}
+
+// acquired takes a worker over: its runs are asked for among the coordinators.
+func (e *Executor) acquired(now time.Duration, w *worker, a Answer) {
+	w.phase = claiming
+	w.claimBy = now + claimWait
+	w.waiting = nil
+	t := Takeover{Worker: w.info.ID}
+	for _, l := range a.Running {
+		r := &run{id: l.ID, num: l.Run, state: running, began: now, changed: now, since: a.Clock}
+		w.add(r)
+		t.Running = append(t.Running, l.RunningTask)
+	}
+	for _, f := range a.Ended {
+		w.cursor = max(w.cursor, f.Number)
+		t.Ended = append(t.Ended, f.RunningTask)
+	}
+	// Our leases may not shorten what an earlier holder granted.
+	w.granted = max(w.granted, a.Clock+e.config.Lease.Milliseconds())
+	e.event("worker_held", w, nil, fmt.Sprintf("token=%d running=%d ended=%d", w.token, len(t.Running), len(t.Ended)))
+	e.out.Takeovers = append(e.out.Takeovers, t)
+}
+
+// Asked tells which coordinators a takeover was sent to; the worker opens when all have
+// answered, or after claimWait.
+func (e *Executor) Asked(now time.Duration, workerID string, coordinators []member.Process) {
+	w := e.workers[workerID]
+	if w == nil || w.phase != claiming {
+		return
+	}
+	w.waiting = make(map[member.Process]bool, len(coordinators))
+	for _, c := range coordinators {
+		w.waiting[c] = true
+	}
+	e.settleClaims(now, w)
+	e.step(now)
+}
+
+// Claimed takes a coordinator's claims: what runs goes on for it, what doesn't is
+// reported as gone.
+func (e *Executor) Claimed(now time.Duration, c Claims) {
+	w := e.workers[c.Worker]
+	if w == nil || w.phase != claiming && w.phase != held {
+		for _, t := range c.Tasks {
+			e.report(c.Owner, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Moved, Worker: c.Worker, Reason: "not_held"})
+		}
+		return
+	}
+	for i := range c.Tasks {
+		e.claim(now, w, c.Owner, &c.Tasks[i])
+	}
+	delete(w.waiting, c.Owner)
+	e.settleClaims(now, w)
+	e.step(now)
+}
+
+func (e *Executor) claim(now time.Duration, w *worker, owner member.Process, t *task.Task) {
+	r := w.runs[t.ID]
+	if r == nil || r.num != t.Run {
+		e.report(owner, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Gone, Worker: w.info.ID, Reason: "not_listed"})
+		return
+	}
+	if r.task != nil || r.state == stopping {
+		return
+	}
+	w.remove(r)
+	r.task, r.owner = t, owner
+	w.add(r)
+	e.report(owner, task.Report{ID: r.id, Run: r.num, Outcome: task.Started, Worker: w.info.ID, Reason: "claimed"})
+}
+
+// settleClaims opens a worker once all its runs are claimed or stopped.
+func (e *Executor) settleClaims(now time.Duration, w *worker) {
+	if w.phase != claiming || w.waiting == nil || len(w.waiting) > 0 && now < w.claimBy {
+		return
+	}
+	for _, r := range w.sorted() {
+		if r.task == nil && r.state != stopping {
+			e.event("run_unclaimed", w, r, "stopped")
+			e.discard(now, w, r)
+		}
+	}
+	if !w.unclaimed() {
+		w.phase = held
+	}
+}
--- /dev/null
+++ b/executor/config.go
@@ -0,0 +1,66 @@
+package executor
+
+import "time"
+
+// Config holds the limits of an Executor. The zero value of a field stands for its
+// default.
+type Config struct {
+	// Lease is the time that each order grants to all runs of a worker. Longer leases
+	// bear longer silence between holder and worker; shorter ones make a lost run safe
+	// to start again sooner. Default DefaultLease.
+	Lease time.Duration
+	// StopWithin is how long a worker may take for a stop. Default DefaultStopWithin.
+	StopWithin time.Duration
+	// TokenSource returns a number for fencing tokens that is unique to this process and
+	// grows with time. Required.
+	TokenSource func() uint64
+}
+
+const (
+	// DefaultLease is the longest lease that workers grant.
+	DefaultLease = time.Second
+	// DefaultStopWithin is the workers' own bound.
+	DefaultStopWithin = 50 * time.Millisecond
+	// clockDrift is how much slower a worker's clock may run than ours.
+	clockDrift = 0.02
+	// lapseMargin is added to the end of a lease for timers that fire late.
+	lapseMargin = 30 * time.Millisecond
+	// busyWait is how long a worker may hold a poll while it runs something: the lease
+	// is extended at least this often, so that it outlives one lost poll.
+	busyWait = 250 * time.Millisecond
+	// idleWait is the same while nothing runs; the poll only tells that the worker is there.
+	idleWait = 600 * time.Millisecond
+	// claimWait is how long coordinators have for claiming the runs of a worker that was
+	// taken over; what nobody claims is stopped.
+	claimWait = 300 * time.Millisecond
+	// retryAcquire is the pause after a failed attempt to take a worker over.
+	retryAcquire = 300 * time.Millisecond
+	// yieldTime is how long a worker that another executor took is left to it, so that
+	// two daemons whose views differ for a moment don't take it from each other by turns.
+	yieldTime = 1500 * time.Millisecond
+	// lookEvery is the pause between attempts to learn what became of an order.
+	lookEvery = 120 * time.Millisecond
+	// maxRunJump bounds the search for a run number above those a worker has seen.
+	maxRunJump = 12
+	// roomPause closes a worker that refuses a start for want of room: something runs
+	// there that this executor doesn't know of.
+	roomPause = 100 * time.Millisecond
+	// shedPause closes a worker that answers that it is unhealthy; it doubles up to maxPause.
+	shedPause = 250 * time.Millisecond
+	maxPause  = 4 * time.Second
+	// failuresToEject closes a worker after this many failed runs in a row.
+	failuresToEject = 3
+	// listLimit is how many ends a worker lists at once. A longer list is incomplete, so
+	// a run that it doesn't show may have ended all the same.
+	listLimit = 500
+)
+
+func (c Config) withDefaults() Config {
+	if c.Lease == 0 {
+		c.Lease = DefaultLease
+	}
+	if c.StopWithin == 0 {
+		c.StopWithin = DefaultStopWithin
+	}
+	return c
+}
--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,338 @@
+package executor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// queued is a task that waits for room.
+type queued struct {
+	task  *task.Task
+	owner member.Process
+	since time.Duration
+}
+
+// Executor runs tasks on the workers that it holds. It is not safe for concurrent use.
+type Executor struct {
+	config  Config
+	workers map[string]*worker
+	order   []*worker // by ID, for repeatable decisions
+	queue   []*queued
+	out     Output
+	// lost are coordinators that are gone: their runs are stopped.
+	lost map[member.Process]bool
+}
+
+// New returns an executor that holds nothing.
+func New(c Config) *Executor {
+	return &Executor{config: c.withDefaults(), workers: make(map[string]*worker), lost: make(map[member.Process]bool)}
+}
+
+// Drain returns what the embedder has to carry out since the last call.
+func (e *Executor) Drain() Output {
+	o := e.out
+	e.out = Output{}
+	return o
+}
+
+// SetWorkers tells which workers this daemon is assigned. A worker that is no longer
+// assigned stays in use until another holder takes it; a worker that the registry
+// dropped is gone is told by Remove.
+func (e *Executor) SetWorkers(now time.Duration, assigned []WorkerInfo) {
+	wanted := make(map[string]bool, len(assigned))
+	for _, i := range assigned {
+		wanted[i.ID] = true
+		e.assign(now, i)
+	}
+	for _, w := range e.order {
+		if !wanted[w.info.ID] && w.phase != released && w.phase != held && w.phase != claiming {
+			w.phase = released
+		}
+	}
+	e.step(now)
+}
+
+func (e *Executor) assign(now time.Duration, i WorkerInfo) {
+	w := e.workers[i.ID]
+	if w == nil {
+		w = &worker{info: i, runs: make(map[task.ID]*run), nextPoll: now}
+		e.workers[i.ID] = w
+		at, _ := slices.BinarySearchFunc(e.order, i.ID, func(w *worker, id string) int { return cmp.Compare(w.info.ID, id) })
+		e.order = slices.Insert(e.order, at, w)
+		return
+	}
+	w.info = i
+	if w.phase == released {
+		w.phase, w.nextPoll = acquiring, now
+	}
+}
+
+// Update refreshes what the registry tells of a worker that is in use, assigned or not.
+func (e *Executor) Update(i WorkerInfo) {
+	if w := e.workers[i.ID]; w != nil {
+		w.info = i
+	}
+}
+
+// Remove forgets workers that the registry no longer shows: they have left.
+func (e *Executor) Remove(now time.Duration, gone func(id string) bool) {
+	for _, w := range slices.Clone(e.order) {
+		if !gone(w.info.ID) {
+			continue
+		}
+		if len(w.runs) > 0 && now < w.lapsedBy() {
+			// The entry may have lapsed while the worker runs on: its runs end with the lease.
+			w.info.Draining = true
+			continue
+		}
+		e.endAll(now, w, "worker_removed")
+		e.drop(w)
+	}
+	e.step(now)
+}
+
+func (e *Executor) drop(w *worker) {
+	delete(e.workers, w.info.ID)
+	e.order = slices.DeleteFunc(e.order, func(o *worker) bool { return o == w })
+}
+
+// Offer takes tasks of a coordinator. Each ends in a report of NotRun, Done, Failed,
+// Gone or Moved, unless it is withdrawn.
+func (e *Executor) Offer(now time.Duration, owner member.Process, tasks []task.Task) {
+	delete(e.lost, owner)
+	for i := range tasks {
+		q := &queued{task: &tasks[i], owner: owner, since: now}
+		at, _ := slices.BinarySearchFunc(e.queue, q, before)
+		e.queue = slices.Insert(e.queue, at, q)
+	}
+	e.expire(now)
+	e.step(now)
+}
+
+// before orders the queue: tasks that have to start soonest go first, and among equals
+// the more urgent queue.
+func before(a, b *queued) int {
+	return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.since, b.since), cmp.Compare(a.task.ID.String(), b.task.ID.String()))
+}
+
+// urgency is the latest start that keeps the job on time; a step of priority counts as
+// priorityStep.
+func (q *queued) urgency() time.Duration {
+	return q.task.Due - q.task.Expected + time.Duration(q.task.Priority)*priorityStep
+}
+
+// priorityStep is what one step of priority is worth in waiting time.
+const priorityStep = 20 * time.Millisecond
+
+// Withdraw takes tasks back: what waits is dropped, what runs is stopped. Nothing is
+// reported.
+func (e *Executor) Withdraw(now time.Duration, owner member.Process, ids []task.ID) {
+	for _, id := range ids {
+		e.queue = slices.DeleteFunc(e.queue, func(q *queued) bool { return q.owner == owner && q.task.ID == id })
+		for _, w := range e.order {
+			if r := w.runs[id]; r != nil && r.owner == owner {
+				e.discard(now, w, r)
+			}
+		}
+	}
+	e.step(now)
+}
+
+// OwnerLost stops all that runs for a coordinator that is gone: its callers are told
+// nothing any more and will submit again, and the same task must not run twice then.
+func (e *Executor) OwnerLost(now time.Duration, owner member.Process) {
+	e.lost[owner] = true
+	e.queue = slices.DeleteFunc(e.queue, func(q *queued) bool { return q.owner == owner })
+	for _, w := range e.order {
+		for _, r := range w.runs {
+			if r.owner == owner && r.task != nil {
+				e.discard(now, w, r)
+			}
+		}
+		if w.waiting != nil {
+			delete(w.waiting, owner)
+			e.settleClaims(now, w)
+		}
+	}
+	e.step(now)
+}
+
+// discard stops a run that nobody waits for.
+func (e *Executor) discard(now time.Duration, w *worker, r *run) {
+	r.discard = true
+	e.stop(now, w, r)
+}
+
+// stop orders a run to end.
+func (e *Executor) stop(now time.Duration, w *worker, r *run) {
+	r.state = stopping
+	r.stopSent = now
+	e.call(now, w, Call{Kind: CallStop, ID: r.id, Run: r.num})
+}
+
+func (e *Executor) call(now time.Duration, w *worker, c Call) {
+	c.Worker, c.Address, c.Token, c.sent = w.info.ID, w.info.Address, w.token, now
+	if c.Deadline > w.granted {
+		w.granted = c.Deadline
+	}
+	e.out.Calls = append(e.out.Calls, c)
+}
+
+// Tick lets time pass. It is to be called at least every 50 ms while tasks wait or run.
+func (e *Executor) Tick(now time.Duration) {
+	for _, w := range slices.Clone(e.order) {
+		e.tickWorker(now, w)
+	}
+	e.expire(now)
+	e.step(now)
+}
+
+// Reasons of reports of NotRun.
+const (
+	// ReasonNoRoom: the task waited for room until its last useful start.
+	ReasonNoRoom = "no_room_in_time"
+	// ReasonNoWorker: this executor holds no worker that may run the task.
+	ReasonNoWorker = "no_worker"
+)
+
+// expire gives back tasks that wait beyond their last useful start, and those that no
+// worker left here may run.
+func (e *Executor) expire(now time.Duration) {
+	e.queue = slices.DeleteFunc(e.queue, func(q *queued) bool {
+		r := task.Report{ID: q.task.ID, Run: q.task.Run, Outcome: task.NotRun}
+		switch {
+		case now >= q.task.StartBy:
+			r.Reason = ReasonNoRoom
+		case !e.canServe(q.task):
+			r.Reason = ReasonNoWorker
+		default:
+			return false
+		}
+		e.report(q.owner, r)
+		return true
+	})
+}
+
+// canServe reports whether a worker in use, or about to be, may run the task.
+func (e *Executor) canServe(t *task.Task) bool {
+	for _, w := range e.order {
+		if w.phase != released && w.phase != yielded && !w.info.Draining && w.silent < 2 && w.serves(t) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Executor) report(owner member.Process, r task.Report) {
+	e.out.Reports = append(e.out.Reports, Owned{Owner: owner, Report: r})
+}
+
+func (e *Executor) event(name string, w *worker, r *run, detail string) {
+	ev := Event{Name: name, Worker: w.info.ID, Detail: detail}
+	if r != nil {
+		ev.ID, ev.Run = r.id, r.num
+	}
+	e.out.Events = append(e.out.Events, ev)
+}
+
+// step starts what fits.
+func (e *Executor) step(now time.Duration) {
+	rest := e.queue[:0]
+	for _, q := range e.queue {
+		if w := e.place(now, q.task); w != nil {
+			e.start(now, w, q)
+			continue
+		}
+		rest = append(rest, q)
+	}
+	clear(e.queue[len(rest):])
+	e.queue = rest
+}
+
+// place returns the open worker with the least room that the task fits into, so that
+// large tasks find room elsewhere; one that it has not failed on, where there is a choice.
+func (e *Executor) place(now time.Duration, t *task.Task) *worker {
+	var best *worker
+	var bestKey [2]int64
+	for _, w := range e.order {
+		if !w.open(now) || !w.serves(t) || !t.Demand.Fits(w.free()) || w.runs[t.ID] != nil {
+			continue
+		}
+		key := [2]int64{0, w.free().MilliCPU}
+		if slices.Contains(t.Avoid, w.info.ID) {
+			key[0] = 1
+		}
+		if best == nil || key[0] < bestKey[0] || key[0] == bestKey[0] && key[1] < bestKey[1] {
+			best, bestKey = w, key
+		}
+	}
+	return best
+}
+
+func (e *Executor) start(now time.Duration, w *worker, q *queued) {
+	clockNow, _ := w.now(now)
+	r := &run{
+		task: q.task, id: q.task.ID, owner: q.owner, num: max(q.task.Run, 1), state: starting, began: now, changed: now,
+		deadline: clockNow + e.config.Lease.Milliseconds(),
+	}
+	w.add(r)
+	e.call(now, w, Call{Kind: CallStart, Task: r.task, ID: r.id, Run: r.num, Deadline: r.deadline})
+	if !w.polling {
+		e.poll(now, w)
+	}
+}
+
+// Rooms returns what is left on each worker in use.
+func (e *Executor) Rooms(now time.Duration) []Room {
+	rooms := make([]Room, 0, len(e.order))
+	for _, w := range e.order {
+		if w.phase == held || w.phase == claiming {
+			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Free: w.free(), Open: w.open(now)})
+		}
+	}
+	return rooms
+}
+
+// Backlog returns the processor time in core-ms that waits, by service.
+func (e *Executor) Backlog() map[string]int64 {
+	b := make(map[string]int64)
+	for _, q := range e.queue {
+		b[q.task.Service] += q.task.Demand.MilliCPU * q.task.Expected.Milliseconds() / 1000
+	}
+	return b
+}
+
+// Holds returns the workers in use.
+func (e *Executor) Holds() []string {
+	var ids []string
+	for _, w := range e.order {
+		if w.phase == held || w.phase == claiming {
+			ids = append(ids, w.info.ID)
+		}
+	}
+	return ids
+}
+
+// Load returns the numbers of running and waiting tasks.
+func (e *Executor) Load() (runningTasks, waiting int) {
+	for _, w := range e.order {
+		runningTasks += len(w.runs)
+	}
+	return runningTasks, len(e.queue)
+}
+
+// Capacity returns the processors of the workers that take new runs, in thousandths of a
+// core, by service.
+func (e *Executor) Capacity(now time.Duration) map[string]int64 {
+	c := make(map[string]int64)
+	for _, w := range e.order {
+		if w.open(now) {
+			c[w.info.Service] += w.info.Capacity.MilliCPU
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/executor/messages.go
@@ -0,0 +1,165 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// WorkerInfo is what the registry tells of a worker.
+type WorkerInfo struct {
+	// ID names one incarnation of the worker.
+	ID       string
+	Address  string
+	Service  string
+	Domain   string
+	Capacity capacity.Vector
+	Labels   []string
+	// Draining workers get no new runs.
+	Draining bool
+}
+
+// CallKind is the kind of an order to a worker.
+type CallKind uint8
+
+// Kinds of calls.
+const (
+	CallStart CallKind = iota + 1
+	CallStop
+	// CallPoll extends the lease, acknowledges ends and reads what runs.
+	CallPoll
+)
+
+// Call is an order that the embedder sends to a worker. Each is answered by exactly one
+// call of Answered.
+type Call struct {
+	Kind    CallKind
+	Worker  string
+	Address string
+	Token   uint64
+	// Task and Run are set for starts and stops; of a stop's task only the ID.
+	Task *task.Task
+	ID   task.ID
+	Run  uint32
+	// Deadline is the lease's end in ms on the worker's clock; 0 in a poll that doesn't extend it.
+	Deadline int64
+	// Acknowledge is the number of the last end that was read.
+	Acknowledge uint64
+	// Wait is how long the worker may hold a poll until something ends.
+	Wait time.Duration
+	// look marks a poll beside the standing one.
+	look bool
+	// sent is when the call was emitted.
+	sent time.Duration
+}
+
+// Verdict is what an answer, or its absence, proves about an order.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// OK: carried out.
+	OK Verdict = iota + 1
+	// Unknown: no answer; it may have been carried out, or may be later.
+	Unknown
+	// Unsent: nothing was sent.
+	Unsent
+	// Unhealthy: the worker did nothing and says it is not well.
+	Unhealthy
+	// Replaced: another incarnation of the worker answered, or none listens there.
+	Replaced
+	// Fenced: the worker obeys a higher token.
+	Fenced
+	// Outdated: a run of this number or a higher one has ended on the worker.
+	Outdated
+	// Late: the deadline has passed on the worker's clock.
+	Late
+	// Full: the worker has no room.
+	Full
+	// Invalid: the worker doesn't take the order at all.
+	Invalid
+)
+
+var verdictNames = [...]string{"none", "ok", "unknown", "unsent", "unhealthy", "replaced", "fenced", "outdated", "late", "full", "invalid"}
+
+// String returns the verdict's name in logs and counters.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return verdictNames[0]
+}
+
+// Ended is one entry of a worker's list of ends.
+type Ended struct {
+	Number uint64
+	task.RunningTask
+	// How is the worker's word, for logs.
+	How string
+}
+
+// Listed is one run in a worker's list.
+type Listed struct {
+	task.RunningTask
+	// Percent is the progress.
+	Percent int
+}
+
+// Answer is a worker's answer to a Call.
+type Answer struct {
+	Verdict Verdict
+	// Clock is the worker's clock in ms; 0 when it wasn't told.
+	Clock   int64
+	Running []Listed
+	Ended   []Ended
+}
+
+// Owned is a report with the coordinator it is for.
+type Owned struct {
+	Owner member.Process
+	task.Report
+}
+
+// Takeover asks all coordinators which runs of a worker are theirs.
+type Takeover struct {
+	Worker  string
+	Running []task.RunningTask
+	Ended   []task.RunningTask
+}
+
+// Claims is a coordinator's reply to a Takeover: those of its tasks that may run there.
+type Claims struct {
+	Owner  member.Process
+	Worker string
+	Tasks  []task.Task
+}
+
+// Output is what the embedder has to carry out, in order.
+type Output struct {
+	Calls     []Call
+	Reports   []Owned
+	Takeovers []Takeover
+	Events    []Event
+}
+
+// Event is a decision or a changed belief, for the log.
+type Event struct {
+	Name   string
+	ID     task.ID
+	Run    uint32
+	Worker string
+	Detail string
+	// Age is how old the decisive input is.
+	Age time.Duration
+}
+
+// Room is what a worker has left.
+type Room struct {
+	Worker  string
+	Service string
+	Free    capacity.Vector
+	// Open is false while the worker gets no new runs.
+	Open bool
+}
--- /dev/null
+++ b/executor/polls.go
@@ -0,0 +1,110 @@
+package executor
+
+import (
+	"fmt"
+	"time"
+)
+
+// poll sends the standing poll of a worker. After two polls without an answer the lease
+// is no longer extended: if the worker runs on unseen, its runs end with the lease, and
+// only then are they safe to start elsewhere.
+func (e *Executor) poll(now time.Duration, w *worker) {
+	w.polling = true
+	c := Call{Kind: CallPoll, Acknowledge: w.cursor, Wait: idleWait}
+	if len(w.runs) > 0 {
+		c.Wait = busyWait
+		if at, ok := w.now(now); ok && w.silent < 2 {
+			c.Deadline = at + e.config.Lease.Milliseconds()
+		}
+	}
+	if w.silent > 0 {
+		c.Wait = 0
+	}
+	e.call(now, w, c)
+}
+
+// look reads the lists at once, beside the standing poll.
+func (e *Executor) look(now time.Duration, w *worker) {
+	if w.looking || w.phase != held && w.phase != claiming {
+		return
+	}
+	w.looking = true
+	w.nextLook = now + lookEvery
+	e.call(now, w, Call{Kind: CallPoll, Acknowledge: w.cursor, look: true})
+}
+
+func (e *Executor) tickWorker(now time.Duration, w *worker) {
+	switch w.phase {
+	case acquiring, yielded:
+		if !w.polling && now >= w.nextPoll {
+			e.acquire(now, w)
+		}
+	case claiming:
+		e.settleClaims(now, w)
+	}
+	if w.phase != held && w.phase != claiming {
+		return
+	}
+	if len(w.runs) > 0 && w.clock.ms > 0 && now >= w.lapsedBy() && w.silent > 0 {
+		e.lapsed(now, w)
+	}
+	if now >= w.nextLook && w.doubts() {
+		e.insist(now, w)
+		e.look(now, w)
+	}
+	e.endStandstill(now, w)
+}
+
+// acquire takes a worker by a token above all that this process has used.
+func (e *Executor) acquire(now time.Duration, w *worker) {
+	w.phase = acquiring
+	w.token = max(e.config.TokenSource(), w.token+1)
+	w.polling = true
+	e.call(now, w, Call{Kind: CallPoll})
+}
+
+// lapsed reports the runs of a worker that is not heard from and whose leases are over.
+func (e *Executor) lapsed(now time.Duration, w *worker) {
+	e.event("lease_lapsed", w, nil, fmt.Sprintf("runs=%d silent=%s", len(w.runs), now-w.clock.at))
+	e.endAll(now, w, "lease_lapsed")
+}
+
+// insist repeats stops that were not confirmed: an order without an answer may be lost.
+func (e *Executor) insist(now time.Duration, w *worker) {
+	for _, r := range w.sorted() {
+		if r.state == stopping && r.stopped == 0 && now-r.stopSent >= lookEvery {
+			e.stop(now, w, r)
+		}
+	}
+}
+
+// endStandstill stops runs that make no progress: the worker lists them for ever, and
+// without this their callers would wait to the deadline.
+func (e *Executor) endStandstill(now time.Duration, w *worker) {
+	for _, r := range w.sorted() {
+		if r.state != running || r.task == nil || w.silent > 0 {
+			continue
+		}
+		if now-r.changed < standstill+r.task.Expected/8 {
+			continue
+		}
+		e.event("run_stands_still", w, r, fmt.Sprintf("percent=%d for=%s", r.percent, now-r.changed))
+		w.closeFor(now, standstillPause)
+		r.changed = now
+		e.stopForRestart(now, w, r)
+	}
+}
+
+// stopForRestart stops a run whose coordinator waits for the proof that it is over.
+func (e *Executor) stopForRestart(now time.Duration, w *worker, r *run) {
+	e.stop(now, w, r)
+	w.nextLook = now + e.config.StopWithin
+}
+
+const (
+	// standstill is the time without progress after which a run is stopped, beside an
+	// eighth of its expected time. Lists come at least every busyWait.
+	standstill = 2*busyWait + 100*time.Millisecond
+	// standstillPause closes the worker of such a run.
+	standstillPause = 2 * time.Second
+)
--- /dev/null
+++ b/executor/worker.go
@@ -0,0 +1,186 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// phase is the holder's relation to a worker.
+type phase uint8
+
+const (
+	// acquiring: a poll under a new token is under way or will be.
+	acquiring phase = iota
+	// claiming: the worker obeys us; coordinators are asked for the runs it lists.
+	claiming
+	// held: runs may be started.
+	held
+	// yielded: another holder took it.
+	yielded
+	// released: it is no longer ours by assignment.
+	released
+)
+
+// runState is what is known of one run.
+type runState uint8
+
+const (
+	// starting: the order is sent and not answered.
+	starting runState = iota
+	// doubtful: the order got no answer.
+	doubtful
+	// running: the worker said so.
+	running
+	// stopping: it is to end, and its coordinator wants no result.
+	stopping
+)
+
+// run is one run on one worker. A run found at a takeover has no task until it is claimed.
+type run struct {
+	task  *task.Task
+	id    task.ID
+	owner member.Process
+	num   uint32
+	state runState
+	// began is when the start was sent.
+	began time.Duration
+	// deadline is that of the start order, on the worker's clock; 0 for a run found.
+	deadline int64
+	// since is a clock reading of the worker at which the run was surely there; 0: none.
+	since int64
+	// stopped is a clock reading of the worker at which it had surely taken a stop; 0: none.
+	stopped int64
+	// stopSent is when the last stop was sent.
+	stopSent time.Duration
+	// discard: nobody waits for a report.
+	discard bool
+	// percent is the last listed progress, changed when it last grew.
+	percent int
+	changed time.Duration
+}
+
+// clock is a reading of a worker's clock.
+type clock struct {
+	ms int64
+	at time.Duration
+}
+
+// worker is a worker that this executor holds or wants to.
+type worker struct {
+	info  WorkerInfo
+	phase phase
+	token uint64
+	clock clock
+	// granted is the latest lease end that any order of this holder may have set.
+	granted int64
+	cursor  uint64
+	runs    map[task.ID]*run
+	used    capacity.Vector
+	// polling and looking: a standing poll or an extra one is under way.
+	polling, looking bool
+	// nextPoll is when an unheld worker is polled again, nextLook when a doubt is looked into.
+	nextPoll, nextLook time.Duration
+	// silent counts polls in a row without an answer.
+	silent int
+	// pausedUntil closes the worker for new runs; pause is the length of the last pause.
+	pausedUntil, pause time.Duration
+	// failures counts failed runs in a row.
+	failures int
+	// claimBy is when unclaimed runs are stopped; waiting holds who has not answered yet.
+	claimBy time.Duration
+	waiting map[member.Process]bool
+}
+
+// now estimates the worker's clock in ms; ok is false when it was never read.
+func (w *worker) now(t time.Duration) (ms int64, ok bool) {
+	if w.clock.ms == 0 {
+		return 0, false
+	}
+	return w.clock.ms + (t - w.clock.at).Milliseconds(), true
+}
+
+// read takes a reading of the worker's clock. Answers on different connections overtake
+// each other, so an older reading is not taken.
+func (w *worker) read(ms int64, at time.Duration) {
+	if ms > w.clock.ms {
+		w.clock = clock{ms, at}
+	}
+}
+
+// lapsedBy returns when every lease that this holder granted has surely ended: the
+// worker's clock may run slow by clockDrift.
+func (w *worker) lapsedBy() time.Duration {
+	left := max(w.granted-w.clock.ms, 0)
+	return w.clock.at + time.Duration(float64(left)/(1-clockDrift))*time.Millisecond + lapseMargin
+}
+
+// free returns the room left.
+func (w *worker) free() capacity.Vector { return w.info.Capacity.Minus(w.used) }
+
+// open reports whether new runs may start.
+func (w *worker) open(now time.Duration) bool {
+	_, known := w.now(now)
+	return w.phase == held && known && !w.info.Draining && w.silent == 0 && now >= w.pausedUntil
+}
+
+// serves reports whether the worker may run the task at all.
+func (w *worker) serves(t *task.Task) bool {
+	return w.info.Service == t.Service && w.hasLabel(t.Label) && t.Demand.Fits(w.info.Capacity)
+}
+
+func (w *worker) hasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range w.info.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// unclaimed reports whether it runs something whose demand is unknown.
+func (w *worker) unclaimed() bool {
+	for _, r := range w.runs {
+		if r.task == nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *worker) doubts() bool {
+	for _, r := range w.runs {
+		if r.state == doubtful || r.state == stopping {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *worker) add(r *run) {
+	w.runs[r.id] = r
+	if r.task != nil {
+		w.used = w.used.Plus(r.task.Demand)
+	}
+}
+
+func (w *worker) remove(r *run) {
+	if w.runs[r.id] != r {
+		return
+	}
+	delete(w.runs, r.id)
+	if r.task != nil {
+		w.used = w.used.Minus(r.task.Demand)
+	}
+}
+
+// closeFor pauses a worker, twice as long each further time.
+func (w *worker) closeFor(now, first time.Duration) {
+	w.pause = min(max(2*w.pause, first), maxPause)
+	w.pausedUntil = max(w.pausedUntil, now+w.pause)
+}
--- /dev/null
+++ b/internal/cli/node.go
@@ -0,0 +1,120 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/lavendercleat/lavendercleat/internal/node"
+	"github.com/lavendercleat/lavendercleat/platform"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// nodeCommand runs the daemon that serves jobs on the users' platform.
+type nodeCommand struct {
+	schema.NodeSettings
+}
+
+const (
+	// heapShare is the part of the platform's memory limit at which garbage collection
+	// becomes eager; the rest is for what the Go heap doesn't count.
+	heapShare = 0.5
+	// frontHeaderTimeout and frontIdleTimeout bound what a caller's connection may hold.
+	frontHeaderTimeout = 3 * time.Second
+	frontIdleTimeout   = 60 * time.Second
+	// nodeStopMargin is added to the daemon's own limits for a planned stop.
+	nodeStopMargin = 2 * time.Second
+)
+
+// Run runs the daemon until SIGTERM or SIGINT.
+func (c *nodeCommand) Run(s *streams, l *schema.LogSettings) error {
+	settings, err := platform.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(c.GcPercent)
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory) * heapShare))
+	}
+	s.err = s.out // the platform collects the standard output
+	return runApp(newApp(s, l, c.StopDelay+c.StopTimeout+nodeStopMargin,
+		fx.Supply(settings, c.NodeSettings),
+		fx.Provide(newNode, newNodeServers),
+		fx.Invoke(hookNode),
+	))
+}
+
+func newNode(s platform.Settings, c schema.NodeSettings, log *logrus.Logger) (*node.Node, error) {
+	return node.New(node.Config{
+		Name: s.Name, Domain: s.Domain, Address: s.Control, Seeds: s.Seeds,
+		Lease: min(c.Lease, s.Lease), StopWithin: s.StopWithin, EntryTTL: max(c.EntryTtl, s.MinStoreLease),
+		StopDelay: c.StopDelay, StopTimeout: c.StopTimeout,
+	}, platform.Connect(s), log)
+}
+
+// nodeServers are the HTTP servers of a daemon.
+type nodeServers struct {
+	servers   []*http.Server
+	addresses []netip.AddrPort
+}
+
+func newNodeServers(s platform.Settings, n *node.Node) *nodeServers {
+	gin.SetMode(gin.ReleaseMode)
+	front := gin.New()
+	front.NoRoute(func(c *gin.Context) {
+		// gin has set 404 for a path without a route; the handler decides.
+		c.Status(http.StatusOK)
+		platform.NewFront(n).ServeHTTP(c.Writer, c.Request)
+	})
+	server := func(h http.Handler) *http.Server {
+		return &http.Server{Handler: h, ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
+	}
+	return &nodeServers{
+		servers:   []*http.Server{server(front), server(platform.NewReady(n.Ready))},
+		addresses: []netip.AddrPort{s.Front, s.Ready},
+	}
+}
+
+// start listens on all addresses.
+func (s *nodeServers) start(ctx context.Context) error {
+	for i, server := range s.servers {
+		var lc net.ListenConfig
+		l, err := lc.Listen(ctx, "tcp4", s.addresses[i].String())
+		if err != nil {
+			return err
+		}
+		go func() { _ = server.Serve(l) }()
+	}
+	return nil
+}
+
+// stop ends the servers once the requests in progress are answered.
+func (s *nodeServers) stop(ctx context.Context) error {
+	var first error
+	for _, server := range s.servers {
+		if err := server.Shutdown(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// hookNode starts the daemon before its servers. At a stop the daemon serves on until
+// the balancer has noticed and its jobs are answered, then the servers end.
+func hookNode(lc fx.Lifecycle, n *node.Node, servers *nodeServers) {
+	lc.Append(fx.Hook{OnStart: n.Start, OnStop: func(ctx context.Context) error {
+		n.Close()
+		return nil
+	}})
+	lc.Append(fx.Hook{OnStart: servers.start, OnStop: func(ctx context.Context) error {
+		n.Drain(ctx)
+		return servers.stop(ctx)
+	}})
+}
--- /dev/null
+++ b/internal/mesh/link.go
@@ -0,0 +1,390 @@
+package mesh
+
+import (
+	"bufio"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// link is this daemon's end of the link to one address.
+type link struct {
+	mesh    *Mesh
+	address netip.AddrPort
+	wake    chan struct{}
+
+	// order keeps calls of the handler for this peer in order; taken before mu.
+	order sync.Mutex
+
+	mu sync.Mutex
+	// peer is the process on the other side; its incarnation is 0 while unknown.
+	peer Peer
+	// up: messages pass both ways.
+	up bool
+	// session counts our state with the peer; peerSession is the peer's count.
+	session, peerSession uint64
+	// connected is the incarnation that our connection reached, 0 without one.
+	connected uint64
+	conn      net.Conn
+	outbox    []*schema.Frame
+	// sent is how many of the outbox were written on this connection.
+	sent    int
+	next    uint64
+	arrived uint64
+	// echoed is when the latest echo of one of our pulses was sent by us; echo is the
+	// peer's latest pulse.
+	echoed, echo int64
+	// dialed is when the connection was made, lost when the last session ended: an echo
+	// of an older pulse doesn't show that messages pass now.
+	dialed, lost int64
+	// lastNamed is when something last named this address.
+	lastNamed time.Time
+	// ackDue: the peer waits for an acknowledgement.
+	ackDue bool
+}
+
+func newLink(m *Mesh, a netip.AddrPort) *link {
+	return &link{mesh: m, address: a, wake: make(chan struct{}, 1), session: 1, lastNamed: time.Now()}
+}
+
+func (l *link) named() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastNamed = time.Now()
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		l.conn.Close()
+	}
+	l.poke()
+}
+
+func (l *link) poke() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) peerIfUp() (Peer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peer, l.up
+}
+
+// send queues a frame for the process, if that is still the one linked.
+func (l *link) send(incarnation uint64, f *schema.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.up || l.peer.Incarnation != incarnation {
+		return
+	}
+	l.next++
+	f.Number = l.next
+	l.outbox = append(l.outbox, f)
+	l.poke()
+}
+
+// run dials and writes until the mesh closes or the peer is forgotten.
+func (l *link) run() {
+	for l.mesh.ctx.Err() == nil {
+		err := l.connect()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.lose(true)
+		}
+		l.checkSilence()
+		if l.forgotten() {
+			l.mesh.forget(l)
+			return
+		}
+		select {
+		case <-l.mesh.ctx.Done():
+		case <-time.After(redialPause):
+		}
+	}
+}
+
+func (l *link) forgotten() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.up && time.Since(l.lastNamed) > forgetAfter
+}
+
+// connect dials, greets and writes until the connection is given up.
+func (l *link) connect() error {
+	c, err := l.mesh.dialer.DialContext(l.mesh.ctx, "tcp4", l.address.String())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	l.mu.Lock()
+	hello := &schema.Identity{
+		Address: l.mesh.self.Address, Incarnation: l.mesh.self.Incarnation, Name: l.mesh.self.Name, Domain: l.mesh.self.Domain,
+		Session: l.session,
+	}
+	l.mu.Unlock()
+	_ = c.SetDeadline(time.Now().Add(redialAfter))
+	if _, err := protodelim.MarshalTo(c, &schema.Frame{Body: &schema.Frame_Hello{Hello: hello}}); err != nil {
+		return err
+	}
+	r := bufio.NewReaderSize(c, 512)
+	answer, err := readHello(r)
+	if err != nil {
+		return err
+	}
+	_ = c.SetDeadline(time.Time{})
+	if !l.reached(answer, hello.GetSession(), c) {
+		return nil
+	}
+	broken := make(chan struct{})
+	l.mesh.wg.Go(func() {
+		defer close(broken)
+		_, _ = r.ReadByte() // nothing comes but the end
+	})
+	defer func() {
+		c.Close()
+		<-broken
+		l.mu.Lock()
+		l.conn, l.connected = nil, 0
+		l.mu.Unlock()
+	}()
+	return l.write(c, broken)
+}
+
+// reached notes the process that a new connection leads to; false when our session has
+// changed meanwhile.
+func (l *link) reached(answer *schema.Identity, session uint64, c net.Conn) bool {
+	l.order.Lock()
+	defer l.order.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != session {
+		return false
+	}
+	if known := l.peer.Incarnation; known != 0 && known != answer.GetIncarnation() {
+		lost := l.reset()
+		l.mu.Unlock()
+		l.tellLost(lost, true)
+		l.mu.Lock()
+		return false // the greeting carried the old session
+	}
+	l.peer = Peer{
+		Process: member.Process{Address: l.address, Incarnation: answer.GetIncarnation()},
+		Name:    answer.GetName(), Domain: answer.GetDomain(),
+	}
+	l.conn, l.connected, l.sent = c, answer.GetIncarnation(), 0
+	l.dialed = l.mesh.clock()
+	return true
+}
+
+// write sends pulses and the outbox until the connection breaks or goes silent.
+func (l *link) write(c net.Conn, broken chan struct{}) error {
+	w := bufio.NewWriterSize(c, 4096)
+	ticker := time.NewTicker(pulseInterval)
+	defer ticker.Stop()
+	pulse := true
+	for {
+		if err := l.flush(c, w, pulse); err != nil {
+			return err
+		}
+		pulse = false
+		select {
+		case <-l.mesh.ctx.Done():
+			return nil
+		case <-broken:
+			return nil
+		case <-l.wake:
+		case <-ticker.C:
+			pulse = true
+			if l.connectionSilentFor() > redialAfter {
+				return nil
+			}
+		}
+	}
+}
+
+// flush writes what is queued, and a pulse.
+func (l *link) flush(c net.Conn, w *bufio.Writer, pulse bool) error {
+	var p *schema.Pulse
+	if pulse {
+		p = l.mesh.handler.Pulse()
+	}
+	l.mu.Lock()
+	frames := l.outbox[min(l.sent, len(l.outbox)):]
+	l.sent = len(l.outbox)
+	ack := l.arrived
+	needsAck := l.ackDue
+	l.ackDue = false
+	if p != nil {
+		p.SentMs, p.EchoMs = l.mesh.clock(), l.echo
+	}
+	l.mu.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(redialAfter))
+	for _, f := range frames {
+		f.Acknowledged = ack
+		if _, err := protodelim.MarshalTo(w, f); err != nil {
+			return err
+		}
+	}
+	switch {
+	case p != nil:
+		if _, err := protodelim.MarshalTo(w, &schema.Frame{Acknowledged: ack, Body: &schema.Frame_Pulse{Pulse: p}}); err != nil {
+			return err
+		}
+	case needsAck && len(frames) == 0:
+		return nil // the next pulse acknowledges
+	}
+	return w.Flush()
+}
+
+// silentFor is the age of the latest pulse of ours that the peer echoed.
+func (l *link) silentFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.mesh.clock()-l.echoed) * time.Millisecond
+}
+
+// connectionSilentFor is the same, counted from the making of the connection.
+func (l *link) connectionSilentFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.mesh.clock()-max(l.echoed, l.dialed)) * time.Millisecond
+}
+
+// checkSilence counts a peer as lost that has not echoed for LostAfter.
+func (l *link) checkSilence() {
+	if _, up := l.peerIfUp(); up && l.silentFor() > LostAfter {
+		l.lose(false)
+	}
+}
+
+// lose ends the session.
+func (l *link) lose(gone bool) {
+	l.order.Lock()
+	defer l.order.Unlock()
+	l.mu.Lock()
+	lost := l.reset()
+	l.mu.Unlock()
+	l.tellLost(lost, gone)
+}
+
+// reset drops all state with the peer and returns the peer that was up.
+func (l *link) reset() *Peer {
+	if l.peer.Incarnation == 0 && !l.up {
+		return nil
+	}
+	p, was := l.peer, l.up
+	l.peer.Incarnation, l.up = 0, false
+	l.session++
+	l.outbox, l.sent, l.next, l.arrived = nil, 0, 0, 0
+	l.echo, l.peerSession, l.lost = 0, 0, l.mesh.clock()
+	if l.conn != nil {
+		l.conn.Close()
+	}
+	if !was {
+		return nil
+	}
+	return &p
+}
+
+func (l *link) tellLost(p *Peer, gone bool) {
+	if p != nil {
+		l.mesh.handler.PeerLost(*p, gone)
+	}
+}
+
+// greeted takes the greeting of a connection that the peer dialed and returns its session.
+func (l *link) greeted(h *schema.Identity) (uint64, bool) {
+	if l.mesh == nil {
+		return 0, false
+	}
+	l.order.Lock()
+	defer l.order.Unlock()
+	l.mu.Lock()
+	l.lastNamed = time.Now()
+	changed := l.peer.Incarnation != 0 && l.peer.Incarnation != h.GetIncarnation()
+	newSession := l.peerSession != 0 && l.peerSession != h.GetSession()
+	var lost *Peer
+	if changed || newSession {
+		lost = l.reset()
+	}
+	l.peer = Peer{
+		Process: member.Process{Address: l.address, Incarnation: h.GetIncarnation()},
+		Name:    h.GetName(), Domain: h.GetDomain(),
+	}
+	l.peerSession = h.GetSession()
+	l.mu.Unlock()
+	l.tellLost(lost, changed)
+	return h.GetSession(), true
+}
+
+// incomingBroke looks at once whether the peer is still there.
+func (l *link) incomingBroke() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+// received takes a frame; false when its connection belongs to an ended session.
+func (l *link) received(session uint64, f *schema.Frame) bool {
+	l.order.Lock()
+	defer l.order.Unlock()
+	l.mu.Lock()
+	if session != l.peerSession {
+		l.mu.Unlock()
+		return false
+	}
+	l.acknowledge(f.GetAcknowledged())
+	p := l.peer
+	if pulse := f.GetPulse(); pulse != nil {
+		up := l.pulsed(pulse)
+		l.mu.Unlock()
+		if up {
+			l.mesh.handler.PeerUp(p)
+		}
+		l.mesh.handler.Pulsed(p, pulse)
+		return true
+	}
+	fresh := f.GetNumber() == l.arrived+1
+	if fresh {
+		l.arrived++
+		l.ackDue = true
+	}
+	l.mu.Unlock()
+	if fresh {
+		l.mesh.handler.Received(p, f)
+	}
+	return true
+}
+
+// acknowledge drops frames that the peer has.
+func (l *link) acknowledge(n uint64) {
+	for len(l.outbox) > 0 && l.outbox[0].GetNumber() <= n {
+		l.outbox = l.outbox[1:]
+		l.sent = max(l.sent-1, 0)
+	}
+}
+
+// pulsed notes a heartbeat and reports whether the link came up by it.
+func (l *link) pulsed(p *schema.Pulse) bool {
+	l.echo = p.GetSentMs()
+	l.echoed = max(l.echoed, p.GetEchoMs())
+	if l.up || l.connected != l.peer.Incarnation || p.GetEchoMs() <= l.lost {
+		return false
+	}
+	l.up = true
+	return true
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,231 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/lavendercleat/lavendercleat/internal/tcp"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+const (
+	// pulseInterval is the time between heartbeats. Free room is told on them too.
+	pulseInterval = 100 * time.Millisecond
+	// redialAfter is the silence after which a connection is given up for a new one:
+	// something on the way may have lost track of it while new ones work.
+	redialAfter = 400 * time.Millisecond
+	// LostAfter is the silence after which a peer counts as lost. What ran for it is
+	// stopped then, which has to be over before its callers submit again.
+	LostAfter = 900 * time.Millisecond
+	// redialPause is the pause between attempts to reach a peer.
+	redialPause = 100 * time.Millisecond
+	// forgetAfter is how long a lost peer is dialed that nothing names any more.
+	forgetAfter = 20 * time.Second
+	dialTimeout = 400 * time.Millisecond
+	// maxFrame bounds one frame in bytes.
+	maxFrame = 8 << 20
+	// maxOutbox bounds the frames that wait for a peer; beyond it the peer is lost.
+	maxOutbox = 20000
+)
+
+// Peer is another daemon's process.
+type Peer struct {
+	member.Process
+	Name   string
+	Domain string
+}
+
+// Handler is told what happens on the links. Its methods are called without locks of
+// this package, for one peer in order.
+type Handler interface {
+	// PeerUp tells that messages pass both ways.
+	PeerUp(p Peer)
+	// PeerLost tells that the peer can't be reached; gone, that its process is proved over.
+	PeerLost(p Peer, gone bool)
+	// Received takes a numbered frame.
+	Received(p Peer, f *schema.Frame)
+	// Pulsed takes a heartbeat.
+	Pulsed(p Peer, pulse *schema.Pulse)
+	// Pulse returns the heartbeat to send now.
+	Pulse() *schema.Pulse
+}
+
+// Mesh is a daemon's end of all links.
+type Mesh struct {
+	self     *schema.Identity
+	address  netip.AddrPort
+	handler  Handler
+	listener net.Listener
+	dialer   net.Dialer
+	started  time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[netip.AddrPort]*link
+}
+
+// New returns a mesh that listens on an address and links nobody yet.
+func New(self Peer, h Handler) (*Mesh, error) {
+	l, err := net.Listen("tcp4", self.Address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listening for peers")
+	}
+	m := &Mesh{
+		self:    &schema.Identity{Address: self.Address.String(), Incarnation: self.Incarnation, Name: self.Name, Domain: self.Domain},
+		address: self.Address, handler: h, listener: l, started: time.Now(),
+		dialer: tcp.Dialer(dialTimeout, LostAfter),
+		links:  make(map[netip.AddrPort]*link),
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	return m, nil
+}
+
+// Start begins to accept links.
+func (m *Mesh) Start() { m.wg.Go(m.accept) }
+
+// Close ends all links.
+func (m *Mesh) Close() {
+	m.cancel()
+	m.listener.Close()
+	m.mu.Lock()
+	for _, l := range m.links {
+		l.close()
+	}
+	m.mu.Unlock()
+	m.wg.Wait()
+}
+
+// Know adds daemons that may be linked, by address.
+func (m *Mesh) Know(addresses ...netip.AddrPort) {
+	for _, a := range addresses {
+		m.link(a).named()
+	}
+}
+
+// Send queues a numbered frame for a process; it is dropped when the process is not linked.
+func (m *Mesh) Send(to member.Process, f *schema.Frame) {
+	m.mu.Lock()
+	l := m.links[to.Address]
+	m.mu.Unlock()
+	if l != nil {
+		l.send(to.Incarnation, f)
+	}
+}
+
+// Peers returns the peers that messages pass to and from.
+func (m *Mesh) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []Peer
+	for _, l := range m.links {
+		if p, up := l.peerIfUp(); up {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// link returns the link to an address, made when there is none.
+func (m *Mesh) link(a netip.AddrPort) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.links[a]
+	if l == nil && a != m.address && m.ctx.Err() == nil {
+		l = newLink(m, a)
+		m.links[a] = l
+		m.wg.Go(l.run)
+	}
+	if l == nil {
+		return new(link) // ourselves, or closing: a link that does nothing
+	}
+	return l
+}
+
+func (m *Mesh) forget(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[l.address] == l {
+		delete(m.links, l.address)
+	}
+}
+
+func (m *Mesh) accept() {
+	for {
+		c, err := m.listener.Accept()
+		if err != nil {
+			if m.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(redialPause) // out of descriptors, or the connection is gone already
+			continue
+		}
+		m.wg.Go(func() { m.serve(c) })
+	}
+}
+
+// serve reads one connection that a peer dialed.
+func (m *Mesh) serve(c net.Conn) {
+	defer c.Close()
+	stop := context.AfterFunc(m.ctx, func() { c.Close() })
+	defer stop()
+	r := bufio.NewReader(c)
+	_ = c.SetDeadline(time.Now().Add(LostAfter))
+	hello, err := readHello(r)
+	if err != nil {
+		return
+	}
+	a, err := netip.ParseAddrPort(hello.GetAddress())
+	if err != nil || a == m.address {
+		return
+	}
+	if _, err := protodelim.MarshalTo(c, &schema.Frame{Body: &schema.Frame_Hello{Hello: m.self}}); err != nil {
+		return
+	}
+	l := m.link(a)
+	session, ok := l.greeted(hello)
+	if !ok {
+		return
+	}
+	for {
+		// A sender pulses; without a deadline a silent connection would stay for ever.
+		_ = c.SetReadDeadline(time.Now().Add(2 * LostAfter))
+		f, err := readFrame(r)
+		if err != nil {
+			l.incomingBroke()
+			return
+		}
+		if !l.received(session, f) {
+			return
+		}
+	}
+}
+
+func readFrame(r *bufio.Reader) (*schema.Frame, error) {
+	f := new(schema.Frame)
+	err := protodelim.UnmarshalOptions{MaxSize: maxFrame}.UnmarshalFrom(r, f)
+	return f, err
+}
+
+func readHello(r *bufio.Reader) (*schema.Identity, error) {
+	f, err := readFrame(r)
+	if err != nil {
+		return nil, err
+	}
+	if f.GetHello() == nil {
+		return nil, errors.New("the first frame is not a greeting")
+	}
+	return f.GetHello(), nil
+}
+
+// clock returns the time since the start in ms, for pulses and their echoes; never 0.
+func (m *Mesh) clock() int64 { return time.Since(m.started).Milliseconds() + 1 }
--- /dev/null
+++ b/internal/node/convert.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+func idToWire(i task.ID) *schema.TaskID {
+	return &schema.TaskID{Job: i.Job, Occurrence: i.Occurrence, Step: i.Step, Index: i.Index}
+}
+
+func idFromWire(i *schema.TaskID) task.ID {
+	return task.ID{Job: i.GetJob(), Occurrence: i.GetOccurrence(), Step: i.GetStep(), Index: i.GetIndex()}
+}
+
+func idsToWire(ids []task.ID) []*schema.TaskID {
+	out := make([]*schema.TaskID, len(ids))
+	for i, id := range ids {
+		out[i] = idToWire(id)
+	}
+	return out
+}
+
+func idsFromWire(ids []*schema.TaskID) []task.ID {
+	out := make([]task.ID, len(ids))
+	for i, id := range ids {
+		out[i] = idFromWire(id)
+	}
+	return out
+}
+
+// tasksToWire makes times relative to now, as daemons have no common clock.
+func tasksToWire(now time.Duration, tasks []task.Task) []*schema.TaskOrder {
+	out := make([]*schema.TaskOrder, len(tasks))
+	for i, t := range tasks {
+		out[i] = &schema.TaskOrder{
+			Id: idToWire(t.ID), Run: t.Run, Service: t.Service, Label: t.Label, Payload: t.Payload,
+			MilliCpu: t.Demand.MilliCPU, MemoryMb: t.Demand.MemoryMB, Gpus: t.Demand.GPUs,
+			Priority: int32(t.Priority), ExpectedMs: t.Expected.Milliseconds(),
+			StartByMs: (t.StartBy - now).Milliseconds(), DueMs: (t.Due - now).Milliseconds(), Avoid: t.Avoid,
+		}
+	}
+	return out
+}
+
+func tasksFromWire(now time.Duration, tasks []*schema.TaskOrder) []task.Task {
+	out := make([]task.Task, len(tasks))
+	for i, t := range tasks {
+		out[i] = task.Task{
+			ID: idFromWire(t.GetId()), Run: t.GetRun(), Service: t.GetService(), Label: t.GetLabel(), Payload: t.GetPayload(),
+			Demand:   capacity.Vector{MilliCPU: t.GetMilliCpu(), MemoryMB: t.GetMemoryMb(), GPUs: t.GetGpus()},
+			Priority: int(t.GetPriority()), Expected: ms(t.GetExpectedMs()),
+			StartBy: now + ms(t.GetStartByMs()), Due: now + ms(t.GetDueMs()), Avoid: t.GetAvoid(),
+		}
+	}
+	return out
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func reportToWire(r task.Report) *schema.Report {
+	return &schema.Report{Id: idToWire(r.ID), Run: r.Run, Outcome: uint32(r.Outcome), Worker: r.Worker, Reason: r.Reason}
+}
+
+func reportFromWire(r *schema.Report) task.Report {
+	return task.Report{
+		ID: idFromWire(r.GetId()), Run: r.GetRun(), Outcome: task.Outcome(r.GetOutcome()), Worker: r.GetWorker(), Reason: r.GetReason(),
+	}
+}
+
+func runsToWire(runs []task.RunningTask) []*schema.ListedRun {
+	out := make([]*schema.ListedRun, len(runs))
+	for i, r := range runs {
+		out[i] = &schema.ListedRun{Id: idToWire(r.ID), Run: r.Run, Done: r.Done, Failed: r.Failed}
+	}
+	return out
+}
+
+func runsFromWire(runs []*schema.ListedRun) []task.RunningTask {
+	out := make([]task.RunningTask, len(runs))
+	for i, r := range runs {
+		out[i] = task.RunningTask{ID: idFromWire(r.GetId()), Run: r.GetRun(), Done: r.GetDone(), Failed: r.GetFailed()}
+	}
+	return out
+}
+
+func takeoverToWire(t executor.Takeover) *schema.Frame {
+	return &schema.Frame{Body: &schema.Frame_Takeover{Takeover: &schema.Takeover{
+		Worker: t.Worker, Running: runsToWire(t.Running), Ended: runsToWire(t.Ended),
+	}}}
+}
+
+func takeoverFromWire(t *schema.Takeover) executor.Takeover {
+	return executor.Takeover{Worker: t.GetWorker(), Running: runsFromWire(t.GetRunning()), Ended: runsFromWire(t.GetEnded())}
+}
+
+func messageToWire(now time.Duration, m coordinator.Message) *schema.Frame {
+	switch {
+	case m.Claims != nil:
+		return &schema.Frame{Body: &schema.Frame_Claims{Claims: &schema.Claims{
+			Worker: m.Claims.Worker, Tasks: tasksToWire(now, m.Claims.Tasks),
+		}}}
+	case m.Offer != nil:
+		return &schema.Frame{Body: &schema.Frame_Offer{Offer: &schema.Offer{Tasks: tasksToWire(now, m.Offer)}}}
+	default:
+		return &schema.Frame{Body: &schema.Frame_Withdrawal{Withdrawal: &schema.Withdrawal{Tasks: idsToWire(m.Withdraw)}}}
+	}
+}
+
+// holderFromPulse takes a peer's heartbeat as what its executor has left.
+func holderFromPulse(p member.Process, near int, pulse *schema.Pulse) coordinator.Holder {
+	h := coordinator.Holder{
+		Process: p, Near: near, Leaving: pulse.GetLeaving() || !pulse.GetServing(),
+		Backlog: make(map[string]int64), Capacity: make(map[string]int64),
+	}
+	for _, r := range pulse.GetRooms() {
+		h.Rooms = append(h.Rooms, executor.Room{
+			Worker: r.GetWorker(), Service: r.GetService(), Open: r.GetOpen(),
+			Free: capacity.Vector{MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), GPUs: r.GetGpus()},
+		})
+	}
+	for _, b := range pulse.GetBacklogs() {
+		h.Backlog[b.GetService()] = b.GetCoreMs()
+		h.Capacity[b.GetService()] = b.GetCapacityMilliCpu()
+	}
+	return h
+}
--- /dev/null
+++ b/internal/node/events.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// metricSet holds the daemon's counters.
+type metricSet struct{ set *metrics.Set }
+
+func newMetricSet() *metricSet { return &metricSet{set: metrics.NewSet()} }
+
+// WriteMetrics writes all counters in the Prometheus text format.
+func (n *Node) WriteMetrics(w io.Writer) {
+	n.metrics.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (m *metricSet) count(name string, labels ...string) {
+	text := "lavendercleat_" + name + "_total{"
+	for i := 0; i+1 < len(labels); i += 2 {
+		if i > 0 {
+			text += ","
+		}
+		text += fmt.Sprintf("%s=%q", labels[i], labels[i+1])
+	}
+	m.set.GetOrCreateCounter(text + "}").Inc()
+}
+
+var callNames = [...]string{"none", "start", "stop", "poll"}
+
+func (m *metricSet) ordered(k executor.CallKind, v executor.Verdict) {
+	m.count("worker_orders", "order", callNames[k], "answer", v.String())
+}
+
+func (m *metricSet) reported(o task.Outcome) { m.count("task_reports", "outcome", o.String()) }
+func (m *metricSet) ended(status, reason string) {
+	m.count("leased_jobs", "status", status, "reason", reason)
+}
+func (m *metricSet) refused(reason string)   { m.count("leased_refusals", "reason", reason) }
+func (m *metricSet) storeFailed(call string) { m.count("store_failures", "call", call) }
+func (m *metricSet) peerLost(refused bool)   { m.count("peer_losses", "refused", fmt.Sprint(refused)) }
+
+// logEvents writes decisions about tasks and beliefs about workers.
+func (n *Node) logEvents(events []executor.Event) {
+	for _, e := range events {
+		fields := logrus.Fields{"event": e.Name}
+		if e.ID.Job != "" {
+			fields["job"], fields["task"], fields["run"] = e.ID.Job, e.ID.String(), e.Run
+		}
+		if e.Worker != "" {
+			fields["worker"] = e.Worker
+		}
+		if e.Detail != "" {
+			fields["detail"] = e.Detail
+		}
+		n.log.WithFields(fields).Info()
+	}
+}
+
+func (n *Node) logAnswer(w *waiter, a coordinator.Answer) {
+	fields := logrus.Fields{"event": "job_answered", "job": a.Job, "route": w.route, "status": a.Status.String(), "waited_ms": a.Waited.Milliseconds()}
+	if w.callerID != "" {
+		fields["request"] = w.callerID
+	}
+	if a.Status == coordinator.Completed {
+		n.log.WithFields(fields).Debug()
+		return
+	}
+	fields["reason"], fields["retry_after_ms"] = a.Reason, a.RetryAfter.Milliseconds()
+	n.log.WithFields(fields).Info()
+}
--- /dev/null
+++ b/internal/node/fleetview.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/fleet"
+	"github.com/lavendercleat/lavendercleat/internal/mesh"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+const (
+	// settleTime is how long a new process waits for its peers before it takes workers
+	// over: without it each new process would take every worker for itself first.
+	settleTime = 500 * time.Millisecond
+	// tellPeersEvery is how often heartbeats name the peers: those that a new process
+	// doesn't know are found by it, also without the store.
+	tellPeersEvery = time.Second
+	// minorityWait is how long a daemon that has lost half of its peers to silence
+	// leaves their workers alone: it is more likely cut off itself, and would take
+	// workers from holders that go on serving.
+	minorityWait = 8 * time.Second
+)
+
+// knownPeer is a peer that was up.
+type knownPeer struct {
+	mesh.Peer
+	leaving bool
+	up      bool
+	// silentSince is when it was lost to silence; 0 for one that is up or refused.
+	silentSince time.Duration
+}
+
+// knownWorker is an entry of the registry.
+type knownWorker struct {
+	info executor.WorkerInfo
+	// missing is when the entry vanished in the wake of an outage of the store; 0: it is there.
+	missing time.Duration
+	// content is the entry as it was read, passed on to peers without the store.
+	content []byte
+}
+
+// fleetView is what the daemon believes of peers and workers.
+type fleetView struct {
+	up      map[netip.AddrPort]*knownPeer
+	workers map[string]*knownWorker
+	// registered holds the daemons that have an entry in the registry.
+	registered map[netip.AddrPort]bool
+	settled    bool
+	toldAt     time.Duration
+	// outage is when the store last failed.
+	outage time.Duration
+	// revision is that of the newest entry.
+	revision int64
+}
+
+func newFleetView() fleetView {
+	return fleetView{
+		up: make(map[netip.AddrPort]*knownPeer), workers: make(map[string]*knownWorker),
+		registered: make(map[netip.AddrPort]bool),
+	}
+}
+
+func (f *fleetView) peerUp(p mesh.Peer) {
+	f.up[p.Address] = &knownPeer{Peer: p, up: true}
+}
+
+func (f *fleetView) isUp(p mesh.Peer) bool {
+	k := f.up[p.Address]
+	return k != nil && k.up && k.Incarnation == p.Incarnation
+}
+
+// pulsed takes news of a peer and reports whether it changes who holds what.
+func (f *fleetView) pulsed(p mesh.Peer, pulse *schema.Pulse) bool {
+	k := f.up[p.Address]
+	leaving := pulse.GetLeaving()
+	changed := k.leaving != leaving
+	k.leaving = leaving
+	return changed
+}
+
+func (f *fleetView) peerLost(now time.Duration, p mesh.Peer, gone bool) {
+	k := f.up[p.Address]
+	if k == nil || k.Incarnation != p.Incarnation {
+		return
+	}
+	if gone {
+		delete(f.up, p.Address)
+		return
+	}
+	k.up, k.silentSince = false, now
+}
+
+func (f *fleetView) tellPeers(now time.Duration) bool {
+	if now-f.toldAt < tellPeersEvery && f.toldAt > 0 {
+		// Every link gets a heartbeat within the interval after the turn.
+		return now-f.toldAt < 2*tickEvery*4
+	}
+	f.toldAt = now
+	return true
+}
+
+// members returns the daemons among which the workers are divided.
+func (f *fleetView) members(now time.Duration, self mesh.Peer, stopping bool) []fleet.Member {
+	live, silent := 1, 0
+	for _, k := range f.up {
+		if k.up {
+			live++
+		} else {
+			silent++
+		}
+	}
+	minority := silent >= live
+	var list []fleet.Member
+	for a, k := range f.up {
+		assumed := k.up
+		if !k.up && minority && now-k.silentSince < minorityWait {
+			assumed = true
+		}
+		if !k.up && now-k.silentSince >= minorityWait {
+			delete(f.up, a)
+		}
+		if assumed && !k.leaving {
+			list = append(list, fleet.Member{Process: k.Process, Domain: k.Domain})
+		}
+	}
+	if !stopping || len(list) == 0 {
+		list = append(list, fleet.Member{Process: self.Process, Domain: self.Domain})
+	}
+	return list
+}
+
+// fleetTick acts on what time alone changes.
+func (n *Node) fleetTick(now time.Duration) {
+	f := &n.fleet
+	changed := f.dropMissing(now)
+	if !f.settled && now >= settleTime && len(f.workers) > 0 {
+		f.settled = true
+		changed = true
+	}
+	for _, k := range f.up {
+		if !k.up && now-k.silentSince >= minorityWait {
+			changed = true
+		}
+	}
+	if changed {
+		n.reassign(now)
+	}
+}
+
+// dropMissing forgets workers whose entries have not come back after an outage.
+func (f *fleetView) dropMissing(now time.Duration) bool {
+	changed := false
+	for id, w := range f.workers {
+		if w.missing > 0 && now-w.missing >= missingGrace {
+			delete(f.workers, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// reassign divides the workers anew. The lock is held.
+func (n *Node) reassign(now time.Duration) {
+	f := &n.fleet
+	if !f.settled {
+		return
+	}
+	all := make([]executor.WorkerInfo, 0, len(f.workers))
+	for _, w := range f.workers {
+		all = append(all, w.info)
+		n.executor.Update(w.info)
+	}
+	holders := fleet.Assign(all, f.members(now, n.self, n.stopping.Load()))
+	var own []executor.WorkerInfo
+	for _, w := range all {
+		if holders[w.ID] == n.self.Process {
+			own = append(own, w)
+		}
+	}
+	n.executor.SetWorkers(now, own)
+	n.executor.Remove(now, func(id string) bool { return f.workers[id] == nil })
+	n.log.WithFields(logrus.Fields{"event": "workers_assigned", "own": len(own), "all": len(all), "peers": len(f.up)}).Debug()
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,267 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/internal/mesh"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/routing"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Config holds a daemon's own settings.
+type Config struct {
+	// Name of the machine, for logs and the registry.
+	Name string
+	// Domain is the failure domain.
+	Domain string
+	// Address is where peers reach the daemon.
+	Address netip.AddrPort
+	// Seeds are addresses of peers to try first.
+	Seeds []netip.AddrPort
+	// Lease and StopWithin are the workers' own bounds.
+	Lease, StopWithin time.Duration
+	// EntryTTL is how long the daemon's entry in the registry outlives its last renewal.
+	EntryTTL time.Duration
+	// StopDelay is how long a stopping daemon serves on, until the balancer has noticed.
+	StopDelay time.Duration
+	// StopTimeout bounds the wait for jobs in flight after that.
+	StopTimeout time.Duration
+}
+
+// tickEvery is the time between two looks at deadlines. Shorter ones cost wake-ups.
+const tickEvery = 25 * time.Millisecond
+
+// Node is the daemon.
+type Node struct {
+	config   Config
+	platform Platform
+	log      *logrus.Logger
+	self     mesh.Peer
+	mesh     *mesh.Mesh
+	clock    *clock
+	metrics  *metricSet
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	table    atomic.Pointer[routing.Table]
+	stopping atomic.Bool
+
+	mu          sync.Mutex
+	executor    *executor.Executor
+	coordinator *coordinator.Coordinator
+	waiters     map[string]*waiter
+	fleet       fleetView
+	documents   documents
+}
+
+// New returns a daemon that listens for peers and does nothing yet.
+func New(c Config, p Platform, log *logrus.Logger) (*Node, error) {
+	n := &Node{config: c, platform: p, log: log, clock: newClock(), metrics: newMetricSet(), waiters: make(map[string]*waiter)}
+	n.self = mesh.Peer{
+		Process: member.Process{Address: c.Address, Incarnation: rand.Uint64()},
+		Name:    c.Name, Domain: c.Domain,
+	}
+	n.executor = executor.New(executor.Config{Lease: c.Lease, StopWithin: c.StopWithin, TokenSource: tokenSource(n.self.Incarnation)})
+	n.coordinator = coordinator.New(n.self.Process)
+	n.fleet = newFleetView()
+	var err error
+	if n.mesh, err = mesh.New(n.self, (*peerHandler)(n)); err != nil {
+		return nil, err
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n, nil
+}
+
+// tokenSource returns fencing tokens that grow with the time of day and differ between
+// daemons. They need no store, so a worker can be taken over while it is away; clocks
+// that differ delay a take-over by their difference at most. They fit into 53 bits, as
+// some JSON readers keep numbers as floating point.
+func tokenSource(incarnation uint64) func() uint64 {
+	const processBits = 12
+	return func() uint64 {
+		return uint64(time.Now().UnixMilli())<<processBits | incarnation&(1<<processBits-1)
+	}
+}
+
+// Start begins to serve.
+func (n *Node) Start(context.Context) error {
+	n.mesh.Start()
+	n.mesh.Know(n.config.Seeds...)
+	n.wg.Go(n.ticks)
+	n.wg.Go(n.followConfiguration)
+	n.wg.Go(n.followWorkers)
+	n.wg.Go(n.followDaemons)
+	n.wg.Go(n.keepEntry)
+	n.log.WithFields(logrus.Fields{
+		"event": "started", "name": n.self.Name, "domain": n.self.Domain, "incarnation": n.self.Incarnation, "address": n.self.Address,
+	}).Info()
+	return nil
+}
+
+// Drain is the first part of a planned stop: the daemon serves on until the balancer has
+// noticed, while its peers take its workers over, then waits for the jobs in flight.
+func (n *Node) Drain(ctx context.Context) {
+	n.stopping.Store(true)
+	n.log.WithField("event", "stopping").Info()
+	n.do(func(now time.Duration) { n.reassign(now) })
+	sleep(ctx, n.config.StopDelay)
+	n.drain(ctx)
+}
+
+// Close ends the daemon.
+func (n *Node) Close() {
+	n.cancel()
+	n.mesh.Close()
+	n.wg.Wait()
+	n.log.WithField("event", "stopped").Info()
+}
+
+// drain waits for the jobs in flight.
+func (n *Node) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.config.StopTimeout)
+	defer cancel()
+	for ctx.Err() == nil && n.jobs() > 0 {
+		sleep(ctx, tickEvery)
+	}
+}
+
+func (n *Node) jobs() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.waiters)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (n *Node) ticks() {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-t.C:
+		}
+		if jump := n.clock.sync(); jump > 0 {
+			n.log.WithFields(logrus.Fields{"event": "suspended", "for": jump}).Warn()
+		}
+		n.do(func(now time.Duration) {
+			n.fleetTick(now)
+			n.executor.Tick(now)
+			n.coordinator.Tick(now)
+		})
+	}
+}
+
+// do runs f on the state machines and carries out what comes of it.
+func (n *Node) do(f func(now time.Duration)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.now()
+	n.coordinator.SetHolder(n.ownHolder(now))
+	f(now)
+	for n.route(now) {
+	}
+}
+
+// ownHolder is what this daemon's executor has left.
+func (n *Node) ownHolder(now time.Duration) coordinator.Holder {
+	return coordinator.Holder{
+		Process: n.self.Process, Rooms: n.executor.Rooms(now), Backlog: n.executor.Backlog(), Capacity: n.executor.Capacity(now),
+	}
+}
+
+// route carries out the outputs of both state machines; false when there were none.
+func (n *Node) route(now time.Duration) bool {
+	c, e := n.coordinator.Drain(), n.executor.Drain()
+	n.logEvents(c.Events)
+	n.logEvents(e.Events)
+	for _, m := range c.Messages {
+		n.toExecutor(now, m)
+	}
+	for _, a := range c.Answers {
+		n.answered(a)
+	}
+	for _, call := range e.Calls {
+		n.wg.Go(func() { n.order(call) })
+	}
+	n.toCoordinators(now, e.Reports)
+	for _, t := range e.Takeovers {
+		n.askOwners(now, t)
+	}
+	return len(c.Messages)+len(e.Reports)+len(e.Takeovers)+len(e.Calls) > 0
+}
+
+// order sends one order to a worker.
+func (n *Node) order(c executor.Call) {
+	a := n.platform.Workers.Do(n.ctx, c)
+	n.metrics.ordered(c.Kind, a.Verdict)
+	n.do(func(now time.Duration) { n.executor.Answered(now, c, a) })
+}
+
+func (n *Node) toExecutor(now time.Duration, m coordinator.Message) {
+	if m.To != n.self.Process {
+		n.mesh.Send(m.To, messageToWire(now, m))
+		return
+	}
+	switch {
+	case m.Claims != nil:
+		n.executor.Claimed(now, *m.Claims)
+	case m.Offer != nil:
+		n.executor.Offer(now, n.self.Process, m.Offer)
+	default:
+		n.executor.Withdraw(now, n.self.Process, m.Withdraw)
+	}
+}
+
+func (n *Node) toCoordinators(now time.Duration, reports []executor.Owned) {
+	remote := make(map[member.Process]*schema.Reports)
+	for _, r := range reports {
+		if r.Outcome != 0 {
+			n.metrics.reported(r.Outcome)
+		}
+		if r.Owner == n.self.Process {
+			n.coordinator.Reported(now, n.self.Process, r.Report)
+			continue
+		}
+		list := remote[r.Owner]
+		if list == nil {
+			list = new(schema.Reports)
+			remote[r.Owner] = list
+		}
+		list.Reports = append(list.Reports, reportToWire(r.Report))
+	}
+	for owner, list := range remote {
+		n.mesh.Send(owner, &schema.Frame{Body: &schema.Frame_Reports{Reports: list}})
+	}
+}
+
+// askOwners asks all coordinators for the runs of a worker that was taken over.
+func (n *Node) askOwners(now time.Duration, t executor.Takeover) {
+	asked := []member.Process{n.self.Process}
+	for _, p := range n.mesh.Peers() {
+		asked = append(asked, p.Process)
+		n.mesh.Send(p.Process, takeoverToWire(t))
+	}
+	n.executor.Asked(now, t.Worker, asked)
+	n.coordinator.TakenOver(now, n.self.Process, t)
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/internal/mesh"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// Order of preference among executors.
+const (
+	nearDomain = 1
+	farDomain  = 2
+)
+
+// peerHandler is the node as the mesh sees it.
+type peerHandler Node
+
+// PeerUp implements mesh.Handler.
+func (h *peerHandler) PeerUp(p mesh.Peer) {
+	n := (*Node)(h)
+	n.log.WithFields(logrus.Fields{"event": "peer_up", "peer": p.Name, "incarnation": p.Incarnation}).Info()
+	n.do(func(now time.Duration) {
+		n.fleet.peerUp(p)
+		n.reassign(now)
+	})
+}
+
+// PeerLost implements mesh.Handler.
+func (h *peerHandler) PeerLost(p mesh.Peer, gone bool) {
+	n := (*Node)(h)
+	n.log.WithFields(logrus.Fields{"event": "peer_lost", "peer": p.Name, "incarnation": p.Incarnation, "refused": gone}).Warn()
+	n.metrics.peerLost(gone)
+	n.do(func(now time.Duration) {
+		n.fleet.peerLost(now, p, gone)
+		n.coordinator.HolderLost(now, p.Process)
+		n.executor.OwnerLost(now, p.Process)
+		n.reassign(now)
+	})
+}
+
+// Pulse implements mesh.Handler.
+func (h *peerHandler) Pulse() *schema.Pulse {
+	n := (*Node)(h)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.now()
+	p := &schema.Pulse{Leaving: n.stopping.Load(), Serving: n.table.Load() != nil, StoreLost: n.documents.lost(now)}
+	if t := n.table.Load(); t != nil {
+		p.DocumentVersion = t.Version
+	}
+	for _, r := range n.executor.Rooms(now) {
+		p.Rooms = append(p.Rooms, &schema.Room{
+			Worker: r.Worker, Service: r.Service, Open: r.Open,
+			MilliCpu: r.Free.MilliCPU, MemoryMb: r.Free.MemoryMB, Gpus: r.Free.GPUs,
+		})
+	}
+	backlog := n.executor.Backlog()
+	for service, c := range n.executor.Capacity(now) {
+		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: backlog[service], CapacityMilliCpu: c})
+	}
+	if n.fleet.tellPeers(now) {
+		for a := range n.fleet.up {
+			p.Peers = append(p.Peers, a.String())
+		}
+	}
+	return p
+}
+
+// Pulsed implements mesh.Handler.
+func (h *peerHandler) Pulsed(p mesh.Peer, pulse *schema.Pulse) {
+	n := (*Node)(h)
+	for _, text := range pulse.GetPeers() {
+		if a, err := netip.ParseAddrPort(text); err == nil && a != n.self.Address {
+			n.mesh.Know(a)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	near := farDomain
+	if p.Domain == n.self.Domain {
+		near = nearDomain
+	}
+	if !n.fleet.isUp(p) {
+		return
+	}
+	n.coordinator.SetHolder(holderFromPulse(p.Process, near, pulse))
+	if n.fleet.pulsed(p, pulse) {
+		n.reassign(n.clock.now())
+	}
+	n.shareDocument(p, pulse)
+}
+
+// Received implements mesh.Handler.
+func (h *peerHandler) Received(p mesh.Peer, f *schema.Frame) {
+	n := (*Node)(h)
+	switch b := f.GetBody().(type) {
+	case *schema.Frame_Offer:
+		n.do(func(now time.Duration) { n.executor.Offer(now, p.Process, tasksFromWire(now, b.Offer.GetTasks())) })
+	case *schema.Frame_Withdrawal:
+		n.do(func(now time.Duration) { n.executor.Withdraw(now, p.Process, idsFromWire(b.Withdrawal.GetTasks())) })
+	case *schema.Frame_Reports:
+		n.do(func(now time.Duration) {
+			for _, r := range b.Reports.GetReports() {
+				n.coordinator.Reported(now, p.Process, reportFromWire(r))
+			}
+		})
+	case *schema.Frame_Takeover:
+		n.do(func(now time.Duration) { n.coordinator.TakenOver(now, p.Process, takeoverFromWire(b.Takeover)) })
+	case *schema.Frame_Claims:
+		n.do(func(now time.Duration) {
+			n.executor.Claimed(now, executor.Claims{
+				Owner: p.Process, Worker: b.Claims.GetWorker(), Tasks: tasksFromWire(now, b.Claims.GetTasks()),
+			})
+		})
+	case *schema.Frame_Document:
+		n.takeDocument(b.Document.GetContent(), "peer "+p.Name)
+	case *schema.Frame_Registry:
+		n.takeRegistry(b.Registry)
+	}
+}
--- /dev/null
+++ b/internal/node/requests.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/routing"
+)
+
+// waiter is a job and the callers that wait for its answer: a caller that lost its
+// connection may send the same job again and joins it.
+type waiter struct {
+	id       string
+	callerID string
+	route    string
+	done     chan struct{}
+	answer   coordinator.Answer
+	callers  int
+}
+
+// Table returns the configuration in force; nil before the first.
+func (n *Node) Table() *routing.Table { return n.table.Load() }
+
+// Run implements Dispatcher.
+func (n *Node) Run(ctx context.Context, r Request) coordinator.Answer {
+	w := n.join(r)
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+		n.leave(w)
+	}
+	return w.answer
+}
+
+// join returns the job's waiter; a new job is submitted.
+func (n *Node) join(r Request) *waiter {
+	var w *waiter
+	n.do(func(now time.Duration) {
+		if w = n.waiters[r.ID]; w != nil {
+			w.callers++
+			return
+		}
+		w = &waiter{id: r.ID, callerID: r.CallerID, route: r.Route.Name, done: make(chan struct{}), callers: 1}
+		n.waiters[r.ID] = w
+		n.coordinator.Submit(now, coordinator.Job{
+			ID: r.ID, Service: r.Route.Service, Payload: r.Payload, Steps: r.Steps, Attempts: r.Route.Attempts,
+			Priority: r.Route.Priority, Stretch: r.Route.Stretch, Target: r.Route.Target, Deadline: now + r.Patience,
+		})
+	})
+	return w
+}
+
+// leave takes a caller off a job; with the last one the job is canceled.
+func (n *Node) leave(w *waiter) {
+	n.do(func(now time.Duration) {
+		if w.callers--; w.callers > 0 || n.waiters[w.id] != w {
+			return
+		}
+		delete(n.waiters, w.id)
+		n.coordinator.Cancel(now, w.id)
+		n.metrics.ended("caller_left", "")
+	})
+}
+
+// answered hands an answer to the callers. The lock is held.
+func (n *Node) answered(a coordinator.Answer) {
+	w := n.waiters[a.Job]
+	if w == nil {
+		return
+	}
+	delete(n.waiters, a.Job)
+	w.answer = a
+	close(w.done)
+	n.metrics.ended(a.Status.String(), string(a.Reason))
+	n.logAnswer(w, a)
+}
+
+// Cancel implements Dispatcher.
+func (n *Node) Cancel(id string) bool {
+	known := false
+	n.do(func(now time.Duration) {
+		w := n.waiters[id]
+		if w == nil {
+			return
+		}
+		known = true
+		n.coordinator.Cancel(now, id)
+		n.answered(coordinator.Answer{Job: id, Status: coordinator.GivenUp, Reason: "canceled"})
+	})
+	return known
+}
+
+// State implements Dispatcher.
+func (n *Node) State(id string) (running, known bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, known = n.waiters[id]
+	return known, known
+}
+
+// Refused implements Dispatcher.
+func (n *Node) Refused(r Refusal) { n.metrics.refused(string(r)) }
+
+// Ready reports whether the balancer should send callers here.
+func (n *Node) Ready() bool {
+	if n.stopping.Load() || n.table.Load() == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.fleet.workers) > 0
+}
--- /dev/null
+++ b/registry/feed.go
@@ -0,0 +1,120 @@
+// Package registry follows what others write to the platform's store: the operator's
+// configuration, the workers' entries and the daemons' own.
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of a store.
+var (
+	// ErrUnavailable: no answer, or a refusal; a write may have taken effect.
+	ErrUnavailable = errors.New("store unavailable")
+	// ErrForgotten: the store has dropped the history after the given revision.
+	ErrForgotten = errors.New("history forgotten")
+	// ErrNotFound: there is no such key or lease.
+	ErrNotFound = errors.New("not found in the store")
+)
+
+// Item is an entry, or the news of its end.
+type Item struct {
+	ID       string
+	Content  []byte
+	Revision int64
+	Deleted  bool
+}
+
+// Feed is a set of entries that changes.
+type Feed interface {
+	// Read returns all entries and a revision to watch from.
+	Read(ctx context.Context) ([]Item, int64, error)
+	// Watch returns what changed after a revision, as soon as something has or when wait
+	// is over, and the revision to go on from. ErrForgotten asks for a new Read.
+	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error)
+}
+
+// Registrar keeps a daemon's own entry, which vanishes when it isn't renewed.
+type Registrar interface {
+	// Register writes the entry and returns its lease.
+	Register(ctx context.Context, name string, content []byte, ttl time.Duration) (lease int64, err error)
+	// Renew extends the lease. ErrNotFound: it has ended.
+	Renew(ctx context.Context, lease int64) error
+	// Unregister ends the lease and the entry with it.
+	Unregister(ctx context.Context, lease int64) error
+}
+
+// FollowConfig holds the times of Follow.
+type FollowConfig struct {
+	// Wait is how long a watch may wait.
+	Wait time.Duration
+	// Pace is the least time between two watches: where entries change all the time, a
+	// watch would return at once, again and again, and each is paid for.
+	Pace time.Duration
+	// Retry is the pause after a failure.
+	Retry time.Duration
+}
+
+// Follower takes what Follow learns.
+type Follower interface {
+	// Snapshot takes all entries.
+	Snapshot(items []Item)
+	// Changed takes changes since the last call.
+	Changed(items []Item)
+	// Failed tells that the store gave no answer; Follow tries on.
+	Failed(err error)
+}
+
+// Follow reads a feed and watches it until ctx ends.
+func Follow(ctx context.Context, f Feed, c FollowConfig, to Follower) {
+	var revision int64
+	for ctx.Err() == nil {
+		began := time.Now()
+		next, err := step(ctx, f, c, to, revision)
+		revision = next
+		pause := c.Pace - time.Since(began)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			to.Failed(err)
+			pause = c.Retry
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// step reads or watches once and returns the revision to go on from; 0 asks for a read.
+func step(ctx context.Context, f Feed, c FollowConfig, to Follower, revision int64) (int64, error) {
+	if revision == 0 {
+		items, at, err := f.Read(ctx)
+		if err != nil {
+			return 0, err
+		}
+		to.Snapshot(items)
+		return at, nil
+	}
+	items, at, err := f.Watch(ctx, revision, c.Wait)
+	switch {
+	case errors.Is(err, ErrForgotten):
+		return 0, nil
+	case err != nil:
+		return revision, err
+	}
+	to.Changed(items)
+	return at, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -175,3 +175,20 @@
 	// Time from sending a job to its deadline; the profile's when 0.
 	Deadline time.Duration `name:"deadline" env:"LAVENDERCLEAT_DEADLINE" help:"Time from sending a job to its deadline; the profile's when 0." default:"0s"`
 }
+
+// NodeSettings are the settings of the daemon on the users' platform. What the platform
+// decides stands in its own settings file.
+type NodeSettings struct {
+	// Path of the platform's settings file.
+	Settings string `name:"settings" env:"LAVENDERCLEAT_SETTINGS" help:"Path of the platform's settings file." default:"/etc/lavendercleat/settings.toml"`
+	// Time that each order lets a worker's runs go on; the platform's own bound is not exceeded.
+	Lease time.Duration `name:"lease" env:"LAVENDERCLEAT_LEASE" help:"Time that each order lets a worker's runs go on; the platform's own bound is not exceeded." default:"800ms"`
+	// Time for which the daemon's entry in the store outlives its last renewal.
+	EntryTtl time.Duration `name:"entry-ttl" env:"LAVENDERCLEAT_ENTRY_TTL" help:"Time for which the daemon's entry in the store outlives its last renewal." default:"6s"`
+	// Time between the request to stop and the end of accepting, for the balancer.
+	StopDelay time.Duration `name:"stop-delay" env:"LAVENDERCLEAT_STOP_DELAY" help:"Time between the request to stop and the end of accepting, for the balancer." default:"2500ms"`
+	// Longest time a planned stop waits for jobs in flight after that.
+	StopTimeout time.Duration `name:"stop-timeout" env:"LAVENDERCLEAT_STOP_TIMEOUT" help:"Longest time a planned stop waits for jobs in flight after that." default:"2s"`
+	// Garbage collector's target: growth of the heap in percent between two collections.
+	GcPercent int `name:"gc-percent" env:"LAVENDERCLEAT_GC_PERCENT" help:"Garbage collector's target: growth of the heap in percent between two collections." default:"60"`
+}
--- /dev/null
+++ b/task/task.go
@@ -0,0 +1,96 @@
+// Package task holds the model that coordinators and executors share: a job is a set of
+// tasks; a task is run by one worker at a time, and each of its starts is a numbered run.
+package task
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+)
+
+// ID names a task.
+type ID struct {
+	// Job is the caller's identifier of the job.
+	Job string
+	// Occurrence counts the times at which a recurring job is due, from 0.
+	Occurrence uint32
+	// Step and Index give the task's place in its job, from 0.
+	Step  uint32
+	Index uint32
+}
+
+// String returns a form for logs.
+func (i ID) String() string { return fmt.Sprintf("%s/%d/%d/%d", i.Job, i.Occurrence, i.Step, i.Index) }
+
+// Task is one task as its coordinator hands it to an executor.
+type Task struct {
+	ID ID
+	// Run is the number of the next start, from 1. Numbers of one task never fall.
+	Run uint32
+	// Service names the pool of workers that may run the task.
+	Service string
+	// Label is one that the worker must have; empty for any worker.
+	Label string
+	// Payload is passed to the worker as it is.
+	Payload string
+	Demand  capacity.Vector
+	// Priority 0 is the most urgent.
+	Priority int
+	// Expected is the caller's estimate of the run time.
+	Expected time.Duration
+	// StartBy is the last useful time to start, on the executor's clock. A task that
+	// waits longer is given back.
+	StartBy time.Duration
+	// Due is when the task has to end for its job to be on time, on the executor's clock.
+	Due time.Duration
+	// Avoid lists workers on which the task has failed.
+	Avoid []string
+}
+
+// Outcome is what became of a run.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// NotRun: no worker has started this run and none ever will.
+	NotRun Outcome = iota + 1
+	// Started: a worker runs it.
+	Started
+	// Done: it ended well.
+	Done
+	// Failed: it ended by its own fault or the worker's.
+	Failed
+	// Gone: it may have started, and it is certain that it doesn't run any more.
+	Gone
+	// Moved: another executor took the worker over; the run may go on there.
+	Moved
+)
+
+// String returns the outcome's name in logs and counters.
+func (o Outcome) String() string {
+	names := [...]string{"unknown", "not_run", "started", "done", "failed", "gone", "moved"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return names[0]
+}
+
+// Report tells a coordinator about a run.
+type Report struct {
+	ID      ID
+	Run     uint32
+	Outcome Outcome
+	// Worker is where it ran or runs.
+	Worker string
+	// Reason says why, in the words of the executor's log.
+	Reason string
+}
+
+// RunningTask is a run that a worker lists.
+type RunningTask struct {
+	ID  ID
+	Run uint32
+	// Done and Failed tell how an ended run ended; neither for one that runs or was cut off.
+	Done, Failed bool
+}
