--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,310 @@
+package coordinator
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+var (
+	self  = member.Process{Address: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: 1}
+	peerB = member.Process{Address: netip.MustParseAddrPort("10.0.0.2:80"), Incarnation: 2}
+	peerC = member.Process{Address: netip.MustParseAddrPort("10.0.0.3:80"), Incarnation: 3}
+)
+
+// rig drives a Coordinator by hand.
+type rig struct {
+	t        *testing.T
+	c        *Coordinator
+	now      time.Duration
+	messages []Message
+	answers  []Answer
+}
+
+func newRig(t *testing.T) *rig { return &rig{t: t, c: New(self), now: time.Second} }
+
+// holder tells of an executor with one worker that has room for n tasks of testJob.
+func (r *rig) holder(p member.Process, near int, worker string, n int64) {
+	r.c.SetHolder(Holder{
+		Process: p, Near: near,
+		Rooms:    []executor.Room{{Worker: worker, Service: "quotes", Free: capacity.Vector{MilliCPU: 1000 * n, MemoryMB: 1000}, Open: true}},
+		Capacity: map[string]int64{"quotes": 4000},
+	})
+}
+
+func testJob(id string, tasks int) Job {
+	return Job{
+		ID: id, Service: "quotes", Attempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond, Deadline: 4 * time.Second,
+		Steps: []Step{{Count: tasks, Demand: capacity.Vector{MilliCPU: 1000, MemoryMB: 10}, Expected: 100 * time.Millisecond}},
+	}
+}
+
+func (r *rig) drain() {
+	o := r.c.Drain()
+	r.messages = append(r.messages, o.Messages...)
+	r.answers = append(r.answers, o.Answers...)
+}
+
+// offers returns the tasks offered to an executor since the last call.
+func (r *rig) offers(p member.Process) []task.Task {
+	r.drain()
+	var tasks []task.Task
+	rest := r.messages[:0]
+	for _, m := range r.messages {
+		if m.To == p && m.Offer != nil {
+			tasks = append(tasks, m.Offer...)
+			continue
+		}
+		rest = append(rest, m)
+	}
+	r.messages = rest
+	return tasks
+}
+
+// withdrawn returns the tasks taken back from an executor since the last call.
+func (r *rig) withdrawn(p member.Process) int {
+	r.drain()
+	n := 0
+	for _, m := range r.messages {
+		if m.To == p {
+			n += len(m.Withdraw)
+		}
+	}
+	return n
+}
+
+func (r *rig) report(from member.Process, t task.Task, o task.Outcome, worker, reason string) {
+	r.c.Reported(r.now, from, task.Report{ID: t.ID, Run: t.Run, Outcome: o, Worker: worker, Reason: reason})
+	r.drain()
+}
+
+// answered returns the one answer.
+func (r *rig) answered() Answer {
+	r.t.Helper()
+	r.drain()
+	assert.Equal(r.t, len(r.answers), 1, "a job ends in exactly one answer")
+	return r.answers[0]
+}
+
+// The job's answer comes when all its tasks are done, not before.
+func TestAnswerWhenAllAreDone(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 2)
+	r.c.Submit(r.now, testJob("j", 2))
+	tasks := r.offers(self)
+	assert.Equal(t, len(tasks), 2)
+	for _, x := range tasks {
+		r.report(self, x, task.Started, "w1", "")
+		assert.Equal(t, len(r.answers), 0)
+		r.report(self, x, task.Done, "w1", "")
+	}
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// Room is used where it is: own workers first, then those of peers.
+func TestOverflowGoesToPeers(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 1)
+	r.holder(peerB, 1, "w2", 1)
+	r.holder(peerC, 2, "w3", 1)
+	r.c.Submit(r.now, testJob("j", 3))
+	assert.Equal(t, len(r.offers(self)), 1)
+	assert.Equal(t, len(r.offers(peerB)), 1)
+	assert.Equal(t, len(r.offers(peerC)), 1)
+}
+
+// A later step waits for the earlier one.
+func TestStepsWait(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 4)
+	j := testJob("j", 1)
+	j.Steps = append(j.Steps, j.Steps[0])
+	j.Steps[1].After = []int{0}
+	r.c.Submit(r.now, j)
+	first := r.offers(self)
+	assert.Equal(t, len(first), 1)
+	r.report(self, first[0], task.Done, "w1", "")
+	second := r.offers(self)
+	assert.Equal(t, len(second), 1)
+	assert.Equal(t, second[0].ID.Step, uint32(1))
+	r.report(self, second[0], task.Done, "w1", "")
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// A task fails; it is run again with a higher number and elsewhere, and the job fails
+// when it has failed as often as it may. What else ran for the job is stopped.
+func TestFailedTask(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 4)
+	r.c.Submit(r.now, testJob("j", 2))
+	x := r.offers(self)[0]
+	r.report(self, x, task.Failed, "w1", "failed")
+	again := r.offers(self)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Run, x.Run+1)
+	assert.DeepEqual(t, again[0].Avoid, []string{"w1"})
+	r.report(self, again[0], task.Failed, "w1", "failed")
+	assert.Equal(t, r.answered().Status, TaskFailed)
+	assert.Equal(t, r.withdrawn(self), 1)
+}
+
+// Without workers the caller is told at once that nothing ran and when to come back.
+func TestRefusedWithoutWorkers(t *testing.T) {
+	r := newRig(t)
+	r.c.Submit(r.now, testJob("j", 2))
+	a := r.answered()
+	assert.Equal(t, a.Status, Refused)
+	assert.Equal(t, a.Reason, ReasonNoWorkers)
+	assert.Assert(t, a.RetryAfter > 0)
+}
+
+// A queue longer than the job can bear refuses it at once, before anything starts.
+func TestRefusedForBacklog(t *testing.T) {
+	r := newRig(t)
+	r.c.SetHolder(Holder{
+		Process: self, Capacity: map[string]int64{"quotes": 4000}, Backlog: map[string]int64{"quotes": 40_000},
+	})
+	r.c.Submit(r.now, testJob("j", 1))
+	assert.Equal(t, r.answered().Status, Refused)
+	assert.Equal(t, len(r.offers(self)), 0)
+}
+
+// "Not run" is told only where it is certain: once a task may have started, a job that
+// is given up may have run.
+func TestNotRunIsTrue(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 1)
+	r.c.Submit(r.now, testJob("never", 1))
+	r.report(self, r.offers(self)[0], task.NotRun, "", executor.ReasonNoRoom)
+	assert.Equal(t, r.answered().Status, Refused)
+
+	r = newRig(t)
+	r.holder(self, 0, "w1", 2)
+	r.c.Submit(r.now, testJob("perhaps", 2))
+	tasks := r.offers(self)
+	r.report(self, tasks[0], task.Started, "w1", "")
+	r.report(self, tasks[1], task.NotRun, "", executor.ReasonNoRoom)
+	assert.Equal(t, r.answered().Status, GivenUp)
+	assert.Equal(t, r.withdrawn(self), 1, "what runs for a caller that was told so is stopped")
+}
+
+// The caller hangs up: what runs for it is stopped and nobody is answered.
+func TestCallerLeaves(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 2)
+	r.c.Submit(r.now, testJob("j", 2))
+	r.c.Cancel(r.now, "j")
+	assert.Equal(t, r.withdrawn(self), 2)
+	assert.Equal(t, len(r.answers), 0)
+	assert.Equal(t, r.c.Jobs(), 0)
+}
+
+// A peer dies with a task running on its worker. Its successor lists the task; it is
+// claimed and goes on, and the caller sees no delay.
+func TestRunIsClaimedFromSuccessor(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.report(peerB, x, task.Started, "w2", "")
+	r.c.HolderLost(r.now, peerB)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Running: []task.RunningTask{{ID: x.ID, Run: x.Run}}})
+	r.drain()
+	claims := r.messages[len(r.messages)-1].Claims
+	assert.Equal(t, len(claims.Tasks), 1)
+	r.report(peerC, x, task.Done, "w2", "")
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// The worker has ended the task before the successor came: the end counts.
+func TestEndBeforeTakeover(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.report(peerB, x, task.Started, "w2", "")
+	r.c.HolderLost(r.now, peerB)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Ended: []task.RunningTask{{ID: x.ID, Run: x.Run, Done: true}}})
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// A peer dies before it said whether it had started a task. Only when all its workers
+// were taken over and none lists the task is it safe to start it again.
+func TestUnknownStartWaitsForAllWorkers(t *testing.T) {
+	r := newRig(t)
+	rooms := []executor.Room{
+		{Worker: "w2", Service: "quotes", Free: capacity.Vector{MilliCPU: 1000, MemoryMB: 100}, Open: true},
+		{Worker: "w3", Service: "quotes"},
+	}
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: rooms, Capacity: map[string]int64{"quotes": 4000}})
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.c.HolderLost(r.now, peerB)
+	r.holder(self, 0, "w1", 1)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2"})
+	assert.Equal(t, len(r.offers(self)), 0, "it may run on the other worker")
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w3"})
+	again := r.offers(self)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Run, x.Run+1)
+}
+
+// No successor comes: the caller is not held to the deadline, and is told that the job
+// may have run.
+func TestUnresolvedTaskIsGivenUp(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	r.offers(peerB)
+	r.c.HolderLost(r.now, peerB)
+	r.now += lostWait
+	r.c.Tick(r.now)
+	a := r.answered()
+	assert.Equal(t, a.Status, GivenUp)
+	assert.Equal(t, a.Reason, ReasonHolderLost)
+}
+
+// Reports of an executor that has lost the task to another one don't count: its word is
+// older than the successor's.
+func TestReportOfAFormerHolder(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.report(peerB, x, task.Started, "w2", "")
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Running: []task.RunningTask{{ID: x.ID, Run: x.Run}}})
+	r.report(peerB, x, task.Moved, "w2", "worker_taken")
+	r.report(peerB, x, task.Gone, "w2", "")
+	assert.Equal(t, len(r.offers(self))+len(r.offers(peerB))+len(r.offers(peerC)), 0)
+	r.report(peerC, x, task.Done, "w2", "")
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// A job too late to be restarted is given up at once.
+func TestTooLateToRestart(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(self)[0]
+	r.now = 3990 * time.Millisecond
+	r.report(self, x, task.Gone, "w1", "lease_lapsed")
+	assert.Equal(t, r.answered().Reason, ReasonTooLate)
+}
+
+// The deadline ends a job even when no executor says anything.
+func TestDeadline(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	r.now = 4 * time.Second
+	r.c.Tick(r.now)
+	assert.Equal(t, r.answered().Reason, ReasonDeadline)
+	assert.Equal(t, r.withdrawn(self), 1)
+}
--- /dev/null
+++ b/executor/harness_test.go
@@ -0,0 +1,152 @@
+package executor
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+const (
+	testLease = 800 * time.Millisecond
+	testStop  = 50 * time.Millisecond
+	// clockStart is what the workers' clocks show at the start of a test.
+	clockStart = 100_000
+)
+
+var (
+	ownerA = member.Process{Address: netip.MustParseAddrPort("10.0.0.1:80"), Incarnation: 1}
+	ownerB = member.Process{Address: netip.MustParseAddrPort("10.0.0.2:80"), Incarnation: 2}
+)
+
+// rig drives an Executor by hand: calls wait until the test answers them.
+type rig struct {
+	t       *testing.T
+	e       *Executor
+	now     time.Duration
+	token   uint64
+	calls   []Call
+	reports []Owned
+	asked   []Takeover
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, now: time.Second}
+	r.e = New(Config{Lease: testLease, StopWithin: testStop, TokenSource: func() uint64 { r.token += 10; return r.token }})
+	return r
+}
+
+// workerNamed is a worker with room for two tasks of testTask.
+func workerNamed(id string) WorkerInfo {
+	return WorkerInfo{ID: id, Address: id + ":80", Service: "quotes", Domain: "a", Capacity: capacity.Vector{MilliCPU: 2000, MemoryMB: 1000}}
+}
+
+func testTask(job string, index uint32) task.Task {
+	return task.Task{
+		ID: task.ID{Job: job, Index: index}, Run: 1, Service: "quotes", Demand: capacity.Vector{MilliCPU: 1000, MemoryMB: 10},
+		Expected: 100 * time.Millisecond, StartBy: time.Hour, Due: 2 * time.Second,
+	}
+}
+
+func (r *rig) drain() {
+	o := r.e.Drain()
+	r.calls = append(r.calls, o.Calls...)
+	r.reports = append(r.reports, o.Reports...)
+	r.asked = append(r.asked, o.Takeovers...)
+}
+
+// pass lets time pass by ticks.
+func (r *rig) pass(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now = min(r.now+25*time.Millisecond, end)
+		r.e.Tick(r.now)
+	}
+	r.drain()
+}
+
+// clock is what a worker's clock shows now.
+func (r *rig) clock() int64 { return clockStart + r.now.Milliseconds() }
+
+// take removes and returns the oldest call that the filter admits.
+func (r *rig) take(kind CallKind, worker string) Call {
+	r.t.Helper()
+	r.drain()
+	at := slices.IndexFunc(r.calls, func(c Call) bool { return c.Kind == kind && (worker == "" || c.Worker == worker) })
+	assert.Assert(r.t, at >= 0, "no call of kind %d to %q among %s", kind, worker, r.describe())
+	c := r.calls[at]
+	r.calls = slices.Delete(r.calls, at, at+1)
+	return c
+}
+
+func (r *rig) has(kind CallKind) bool {
+	r.drain()
+	return slices.ContainsFunc(r.calls, func(c Call) bool { return c.Kind == kind })
+}
+
+func (r *rig) describe() string {
+	s := ""
+	for _, c := range r.calls {
+		s += fmt.Sprintf("[%d %s %s run %d token %d] ", c.Kind, c.Worker, c.ID, c.Run, c.Token)
+	}
+	return s
+}
+
+func (r *rig) answer(c Call, a Answer) {
+	if a.Verdict == OK && a.Clock == 0 {
+		a.Clock = r.clock()
+	}
+	r.e.Answered(r.now, c, a)
+	r.drain()
+}
+
+// hold makes the executor hold workers on which nothing runs.
+func (r *rig) hold(ids ...string) {
+	r.t.Helper()
+	var infos []WorkerInfo
+	for _, id := range ids {
+		infos = append(infos, workerNamed(id))
+	}
+	r.e.SetWorkers(r.now, infos)
+	r.pass(25 * time.Millisecond)
+	for _, id := range ids {
+		r.answer(r.take(CallPoll, id), Answer{Verdict: OK})
+		r.e.Asked(r.now, id, nil)
+	}
+	r.drain()
+}
+
+// started offers a task and has its start answered.
+func (r *rig) started(owner member.Process, t task.Task) Call {
+	r.t.Helper()
+	r.e.Offer(r.now, owner, []task.Task{t})
+	c := r.take(CallStart, "")
+	r.answer(c, Answer{Verdict: OK})
+	return c
+}
+
+// outcomes returns what was reported to an owner of a task, in order.
+func (r *rig) outcomes(owner member.Process, id task.ID) string {
+	r.drain()
+	s := ""
+	for _, o := range r.reports {
+		if o.Owner == owner && o.ID == id {
+			s += o.Outcome.String() + " "
+		}
+	}
+	return s
+}
+
+func listing(id task.ID, run uint32) []Listed {
+	return []Listed{{RunningTask: task.RunningTask{ID: id, Run: run}}}
+}
+
+func endOf(n uint64, id task.ID, run uint32, how string) Ended {
+	return Ended{Number: n, RunningTask: task.RunningTask{ID: id, Run: run, Done: how == "done", Failed: how == "failed"}, How: how}
+}
--- /dev/null
+++ b/executor/place_test.go
@@ -0,0 +1,108 @@
+package executor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// Tasks never overfill a worker: room is a vector and is taken until the end is listed.
+func TestRoomIsTakenUntilTheEndIsListed(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0), testTask("j", 1), testTask("j", 2)})
+	a, b := r.take(CallStart, "w1"), r.take(CallStart, "w1")
+	assert.Assert(t, !r.has(CallStart))
+	r.answer(a, Answer{Verdict: OK})
+	r.answer(b, Answer{Verdict: OK})
+	r.e.Withdraw(r.now, ownerA, []task.ID{a.ID})
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: OK})
+	assert.Assert(t, !r.has(CallStart), "what is being stopped still takes room")
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Running: listing(b.ID, 1), Ended: []Ended{endOf(1, a.ID, 1, "stopped")}})
+	assert.Assert(t, r.has(CallStart))
+}
+
+// A draining worker gets nothing new, and its runs go on.
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	i := workerNamed("w1")
+	i.Draining = true
+	r.e.SetWorkers(r.now, []WorkerInfo{i})
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	assert.Assert(t, !r.has(CallStart))
+	assert.Equal(t, r.outcomes(ownerA, testTask("j", 0).ID), "not_run ", "given back at once: nobody here will run it")
+}
+
+// A task that finds no room by its last useful start is given back as not run.
+func TestNoRoomInTime(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.started(ownerA, testTask("a", 0))
+	r.started(ownerA, testTask("a", 1))
+	late := testTask("b", 0)
+	late.StartBy = r.now + 200*time.Millisecond
+	r.e.Offer(r.now, ownerB, []task.Task{late})
+	r.pass(300 * time.Millisecond)
+	assert.Equal(t, r.outcomes(ownerB, late.ID), "not_run ")
+}
+
+// A worker fails everything it starts while its health looks good. After three failures
+// in a row it gets nothing for a while, so that it doesn't draw every task to itself.
+func TestFailingWorkerIsClosed(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	for i := range uint32(failuresToEject) {
+		c := r.started(ownerA, testTask("j", i))
+		r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(uint64(i+1), c.ID, 1, "failed")}})
+	}
+	assert.Assert(t, !r.e.Rooms(r.now)[0].Open)
+	r.pass(shedPause + 50*time.Millisecond)
+	assert.Assert(t, r.e.Rooms(r.now)[0].Open)
+}
+
+// A worker lists a task for ever without progress. It is stopped and given back, so that
+// the caller doesn't wait to its deadline.
+func TestStandstillIsStopped(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	for range 10 {
+		r.pass(100 * time.Millisecond)
+		if r.has(CallStop) {
+			break
+		}
+		r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Running: listing(c.ID, 1)})
+	}
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: OK})
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, c.ID, 1, "stopped")}})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started gone ")
+}
+
+// The same job was run here for another daemon: its run number is taken. A higher number
+// is accepted, as the earlier run is over.
+func TestRunNumberRises(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	r.answer(r.take(CallStart, "w1"), Answer{Verdict: Outdated})
+	c := r.take(CallStart, "w1")
+	assert.Equal(t, c.Run, uint32(2))
+	r.answer(c, Answer{Verdict: OK})
+	assert.Equal(t, r.reports[len(r.reports)-1].Run, uint32(2))
+}
+
+// The estimate of the worker's clock is wrong, after it was suspended for instance: the
+// start is refused as late, the answer tells the time, and the next one is in time.
+func TestLateStartCorrectsTheClock(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "w1")
+	r.answer(c, Answer{Verdict: Late, Clock: c.Deadline + 5000})
+	again := r.take(CallStart, "w1")
+	assert.Equal(t, again.Deadline, c.Deadline+5000+testLease.Milliseconds())
+}
--- /dev/null
+++ b/executor/proof_test.go
@@ -0,0 +1,175 @@
+package executor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// The caller gets its answer as soon as the worker lists the end, and the end is
+// acknowledged by the next poll, so that the worker may forget it.
+func TestEndIsReportedAndAcknowledged(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(7, c.ID, 1, "done")}})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started done ")
+	assert.Equal(t, r.take(CallPoll, "w1").Acknowledge, uint64(7))
+	assert.Equal(t, r.e.Rooms(r.now)[0].Free.MilliCPU, int64(2000))
+}
+
+// The answer to a start is lost; the task runs all the same. Were it started elsewhere,
+// the caller's booking would run twice. The worker's list shows that it runs.
+func TestLostAnswerOfAStartThatRuns(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1", "w2")
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "")
+	r.answer(c, Answer{Verdict: Unknown})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "")
+	standing := r.take(CallPoll, c.Worker)
+	look := r.take(CallPoll, c.Worker)
+	r.answer(look, Answer{Verdict: OK, Running: listing(c.ID, 1)})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started ")
+	r.answer(standing, Answer{Verdict: OK, Ended: []Ended{endOf(1, c.ID, 1, "done")}})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started done ")
+	assert.Assert(t, !r.has(CallStart))
+}
+
+// A start gets no answer and the worker doesn't list it: it may still be on its way. A
+// list alone is no proof; a confirmed stop that bars the run number is, once a later
+// list shows nothing.
+func TestUnansweredStartIsSealedByAStop(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "w1")
+	r.answer(c, Answer{Verdict: Unknown})
+	r.take(CallPoll, "w1")
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "", "a list is no proof while the start may come late")
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: OK})
+	r.pass(testStop + 100*time.Millisecond)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "gone ")
+}
+
+// A start that is carried out late finds its deadline passed, and the worker rejects it;
+// so a list made after the deadline that shows nothing proves that it never ran.
+func TestStartPastItsDeadlineNeverRuns(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "w1")
+	r.answer(c, Answer{Verdict: Unknown})
+	r.take(CallPoll, "w1")
+	look := r.take(CallPoll, "w1")
+	r.now += testLease + 10*time.Millisecond
+	r.answer(look, Answer{Verdict: OK})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "gone ")
+}
+
+// A worker falls silent with a task on it. Its lease runs on the worker's clock, which
+// may be 2% slow: before that has passed the task may run on unseen, and a second start
+// would run it twice.
+func TestSilentWorkerEndsWithItsLease(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	granted := r.now
+	for r.now < granted+testLease {
+		r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Unknown})
+		poll := r.calls[len(r.calls)-1]
+		if r.now > granted+300*time.Millisecond {
+			assert.Equal(t, poll.Deadline, int64(0), "a silent worker's lease is not extended")
+		}
+		assert.Equal(t, r.outcomes(ownerA, c.ID), "started ")
+		r.pass(100 * time.Millisecond)
+	}
+	r.pass(testLease)
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started gone ")
+}
+
+// A refused connection proves nothing: a partition may refuse while the worker runs on.
+// The task waits for the lease as with silence.
+func TestRefusedConnectionIsNoProof(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Unsent})
+	r.pass(200 * time.Millisecond)
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started ")
+}
+
+// Another incarnation answers at the worker's address: the old one crashed, and all that
+// ran on it is over at once.
+func TestNewIncarnationProvesTheEnd(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Replaced})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started gone ")
+}
+
+// Answers on different connections overtake each other: a list made before the start
+// was carried out doesn't show the run and must not end it.
+func TestOlderListDoesNotEndARun(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	older := r.clock()
+	r.now += 10 * time.Millisecond
+	c := r.started(ownerA, testTask("j", 0))
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Clock: older})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started ")
+}
+
+// A list of 500 ends may go on: a run that it doesn't show may have ended further down,
+// and its result would be lost if it counted as gone.
+func TestFullListIsIncomplete(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	ends := make([]Ended, listLimit)
+	for i := range ends {
+		ends[i] = endOf(uint64(i+1), task.ID{Job: "other", Index: uint32(i)}, 1, "done")
+	}
+	r.now += 10 * time.Millisecond
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: ends})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started ")
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(501, c.ID, 1, "done")}})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started done ")
+}
+
+// A withdrawn task is stopped; the stop gets no answer. It is repeated until the end is
+// listed, or the task would run on after its caller has gone.
+func TestStopIsRepeated(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	r.e.Withdraw(r.now, ownerA, []task.ID{c.ID})
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: Unknown})
+	r.pass(2 * lookEvery)
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: OK})
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, c.ID, 1, "stopped")}})
+	assert.Equal(t, r.e.Rooms(r.now)[0].Free.MilliCPU, int64(2000))
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started ", "nobody waits for a report")
+}
+
+// A coordinator dies. Its caller sends the job again elsewhere after 1.3 s; what ran for
+// it is stopped at once, and what waited is dropped.
+func TestLostOwnerIsStopped(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	a := r.started(ownerA, testTask("a", 0))
+	b := r.started(ownerB, testTask("b", 0))
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("a", 1)})
+	r.e.OwnerLost(r.now, ownerA)
+	assert.Equal(t, r.take(CallStop, "w1").ID, a.ID)
+	assert.Assert(t, !r.has(CallStop), "other owners' tasks run on")
+	_, waiting := r.e.Load()
+	assert.Equal(t, waiting, 0)
+	assert.Equal(t, r.outcomes(ownerB, b.ID), "started ")
+}
--- /dev/null
+++ b/executor/takeover_test.go
@@ -0,0 +1,103 @@
+package executor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// takeOver makes the executor take a worker over that lists a run.
+func takeOver(r *rig, id task.ID) {
+	r.t.Helper()
+	r.e.SetWorkers(r.now, []WorkerInfo{workerNamed("w1")})
+	r.pass(25 * time.Millisecond)
+	first := r.take(CallPoll, "w1")
+	assert.Equal(r.t, first.Deadline, int64(0), "the first poll must not extend leases of runs that nobody has claimed")
+	r.answer(first, Answer{Verdict: OK, Running: listing(id, 3)})
+	r.e.Asked(r.now, "w1", []member.Process{ownerA, ownerB})
+	r.drain()
+}
+
+// A holder dies with a task on its worker. The successor shows coordinators what runs;
+// the claimed run goes on, and its caller sees no delay.
+func TestClaimedRunGoesOn(t *testing.T) {
+	r := newRig(t)
+	mine := testTask("j", 0)
+	mine.Run = 3
+	takeOver(r, mine.ID)
+	assert.Equal(t, r.asked[0].Running[0].ID, mine.ID)
+	r.e.Claimed(r.now, Claims{Owner: ownerB, Worker: "w1"})
+	r.e.Claimed(r.now, Claims{Owner: ownerA, Worker: "w1", Tasks: []task.Task{mine}})
+	assert.Equal(t, r.outcomes(ownerA, mine.ID), "started ")
+	assert.Equal(t, r.e.Rooms(r.now)[0].Free.MilliCPU, int64(1000))
+	assert.Assert(t, r.e.Rooms(r.now)[0].Open)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, mine.ID, 3, "done")}})
+	assert.Equal(t, r.outcomes(ownerA, mine.ID), "started done ")
+}
+
+// A run that nobody claims belongs to a coordinator that is gone: it is stopped, and until
+// its end is listed the worker gets nothing, as the room it takes is unknown.
+func TestUnclaimedRunIsStopped(t *testing.T) {
+	r := newRig(t)
+	id := testTask("j", 0).ID
+	takeOver(r, id)
+	r.e.Claimed(r.now, Claims{Owner: ownerA, Worker: "w1"})
+	r.e.Claimed(r.now, Claims{Owner: ownerB, Worker: "w1"})
+	stop := r.take(CallStop, "w1")
+	assert.Equal(t, stop.ID, id)
+	assert.Equal(t, stop.Run, uint32(3))
+	assert.Assert(t, !r.e.Rooms(r.now)[0].Open)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, id, 3, "stopped")}})
+	r.pass(25 * time.Millisecond)
+	assert.Assert(t, r.e.Rooms(r.now)[0].Open)
+}
+
+// A coordinator that doesn't answer doesn't keep the worker closed for ever.
+func TestClaimsEnd(t *testing.T) {
+	r := newRig(t)
+	id := testTask("j", 0).ID
+	takeOver(r, id)
+	r.pass(claimWait + 50*time.Millisecond)
+	assert.Equal(t, r.take(CallStop, "w1").ID, id)
+}
+
+// A claim for a run that the worker doesn't list is answered at once: it is over, and
+// its coordinator may start it again.
+func TestClaimOfAnUnlistedRun(t *testing.T) {
+	r := newRig(t)
+	takeOver(r, testTask("j", 0).ID)
+	other := testTask("other", 0)
+	r.e.Claimed(r.now, Claims{Owner: ownerA, Worker: "w1", Tasks: []task.Task{other}})
+	assert.Equal(t, r.outcomes(ownerA, other.ID), "gone ")
+}
+
+// Another daemon takes a worker by a higher token. Its runs go on there: reporting them
+// as gone would start them a second time beside it.
+func TestFencedHolderYields(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Fenced})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started moved ")
+	assert.Equal(t, len(r.e.Rooms(r.now)), 0)
+	r.pass(yieldTime / 2)
+	assert.Assert(t, !r.has(CallPoll), "two daemons whose views differ must not take a worker by turns")
+	r.pass(yieldTime)
+	assert.Assert(t, r.take(CallPoll, "w1").Token > c.Token)
+}
+
+// A start that is refused for its token has not run: it waits for another worker here.
+func TestFencedStartIsPlacedAgain(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1", "w2")
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "")
+	r.answer(c, Answer{Verdict: Fenced})
+	again := r.take(CallStart, "")
+	assert.Assert(t, again.Worker != c.Worker)
+	assert.Equal(t, again.ID, c.ID)
+}
