--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -151,3 +151,29 @@
 
 // Pid returns the process's id.
 func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// RunLogged starts the program with additional environment variables and keeps all that
+// it writes as its log. The process is killed when the test ends.
+func RunLogged(t testing.TB, name string, env []string, args ...string) *Process {
+	t.Helper()
+	p := &Process{cmd: exec.Command(Binary(t), args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", name, p.log.String())
+		}
+	})
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	return p
+}
+
+// HangUp sends SIGHUP.
+func (p *Process) HangUp() { _ = p.cmd.Process.Signal(syscall.SIGHUP) }
--- /dev/null
+++ b/test/leased/faults_test.go
@@ -0,0 +1,248 @@
+package leased
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/platform/platformtest"
+)
+
+var quick = platformtest.Manners{Work: 60 * time.Millisecond}
+
+// On a calm day every caller gets a whole answer and each task runs exactly once.
+func TestCalmDay(t *testing.T) {
+	t.Parallel()
+	s := start(t, 3, 6, quick)
+	out := s.during(2*time.Second, 4, func() {})
+	assert.Equal(t, out.refused+out.unclear, 0)
+	assert.Assert(t, out.completed > 20)
+	for name, n := range s.witness.Starts() {
+		assert.Equal(t, n, 1, name)
+	}
+}
+
+// A daemon is killed with jobs on it. Its callers lose their connections and send the
+// jobs again elsewhere 1.3 s later; by then nothing of the first try may run. Tasks that
+// other daemons had on its workers are claimed by the successors.
+func TestKilledDaemon(t *testing.T) {
+	t.Parallel()
+	s := start(t, 3, 6, platformtest.Manners{Work: 250 * time.Millisecond})
+	out := s.during(6*time.Second, 5, func() {
+		time.Sleep(time.Second)
+		s.daemons[1].Kill()
+		time.Sleep(1500 * time.Millisecond)
+		s.daemons[1].run()
+	})
+	assert.Assert(t, out.completed > 30)
+	assert.Equal(t, out.abandoned, 0)
+}
+
+// A daemon freezes for three seconds and wakes, unaware. Its workers are taken over
+// meanwhile and its callers have sent their jobs to others: on waking it must not order
+// those workers, nor start its jobs again beside them.
+func TestFrozenDaemon(t *testing.T) {
+	t.Parallel()
+	s := start(t, 3, 6, platformtest.Manners{Work: 250 * time.Millisecond})
+	out := s.during(7*time.Second, 5, func() {
+		time.Sleep(time.Second)
+		s.daemons[0].Freeze()
+		time.Sleep(3 * time.Second)
+		s.daemons[0].Thaw()
+	})
+	assert.Assert(t, out.completed > 30)
+}
+
+// All daemons are killed at once. Tasks run on under their leases; the new processes know
+// nothing of them and must stop them before the callers' second tries start.
+func TestAllDaemonsKilled(t *testing.T) {
+	t.Parallel()
+	s := start(t, 3, 6, platformtest.Manners{Work: 400 * time.Millisecond})
+	out := s.during(7*time.Second, 5, func() {
+		time.Sleep(time.Second)
+		for _, d := range s.daemons {
+			d.Kill()
+		}
+		for _, d := range s.daemons {
+			d.run()
+		}
+	})
+	assert.Assert(t, out.completed > 20)
+	assert.Equal(t, out.abandoned, 0)
+}
+
+// A daemon is asked to stop. Callers on it are answered, its workers pass to its peers
+// with what runs on them, and it ends within the grace time.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	s := start(t, 3, 6, platformtest.Manners{Work: 250 * time.Millisecond})
+	var stopped sync.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	// One caller whose jobs are under way when the signal comes.
+	var mu sync.Mutex
+	lost := 0
+	stopped.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			status, text := s.post(context.Background(), s.daemons[2], prefix, fmt.Sprintf("stop%d", n), 2, 4*time.Second)
+			mu.Lock()
+			if status != http.StatusOK {
+				lost++
+				t.Logf("job %d: status %d %s", n, status, text)
+			}
+			mu.Unlock()
+		}
+	})
+	time.Sleep(600 * time.Millisecond)
+	s.daemons[2].Terminate()
+	time.Sleep(200 * time.Millisecond) // the balancer sends callers elsewhere now
+	assert.Assert(t, !s.daemons[2].isReady())
+	cancel()
+	stopped.Wait()
+	assert.NilError(t, s.daemons[2].Wait(6*time.Second))
+	assert.Equal(t, lost, 0)
+	assert.Equal(t, len(s.witness.Doubled()), 0)
+}
+
+// Workers do what they are asked and their answers are lost, or carry starts out seconds
+// later. Neither may run a task beside its second start.
+func TestLostAndLateStarts(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 6, quick)
+	out := s.during(6*time.Second, 4, func() {
+		time.Sleep(500 * time.Millisecond)
+		s.workers[0].SetManners(platformtest.Manners{Work: 250 * time.Millisecond, LoseStarts: true})
+		s.workers[1].SetManners(platformtest.Manners{Work: 250 * time.Millisecond, LateStarts: 2 * time.Second})
+		time.Sleep(3 * time.Second)
+		s.workers[0].SetManners(quick)
+		s.workers[1].SetManners(quick)
+	})
+	assert.Assert(t, out.completed > 40)
+	assert.Equal(t, out.abandoned, 0)
+}
+
+// A worker goes silent with tasks on it and they run on there unseen. They are started
+// elsewhere only after their leases have surely ended.
+func TestSilentWorker(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 6, platformtest.Manners{Work: 700 * time.Millisecond})
+	out := s.during(6*time.Second, 4, func() {
+		time.Sleep(500 * time.Millisecond)
+		s.workers[0].SetManners(platformtest.Manners{Work: 700 * time.Millisecond, Silent: true})
+		s.workers[1].SetManners(platformtest.Manners{Work: 700 * time.Millisecond, Silent: true})
+		time.Sleep(3 * time.Second)
+	})
+	assert.Assert(t, out.completed > 8)
+	assert.Equal(t, out.abandoned, 0)
+}
+
+// Workers fail all they start, and some make no progress; the others serve the callers.
+func TestBadWorkers(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 8, quick)
+	s.workers[0].SetManners(platformtest.Manners{Work: 10 * time.Millisecond, Fail: true})
+	s.workers[1].SetManners(platformtest.Manners{StandStill: true})
+	s.workers[2].SetManners(platformtest.Manners{Unhealthy: true})
+	out := s.during(5*time.Second, 3, func() {})
+	assert.Assert(t, out.completed > 30)
+	assert.Equal(t, out.abandoned, 0)
+}
+
+// The store is silent for longer than its leases last. Serving goes on; afterwards the
+// configuration changes again.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 4, quick)
+	out := s.during(5*time.Second, 2, func() {
+		s.store.SetTrouble(platformtest.Silent)
+		time.Sleep(3 * time.Second)
+		s.store.SetTrouble(platformtest.None)
+	})
+	assert.Equal(t, out.refused+out.unclear, 0)
+	s.configure(2, prefix, "/more/")
+	s.inForce("/more/", http.StatusOK, 2*time.Second)
+}
+
+// Workers' entries vanish in the wake of an outage and are back two seconds later: they
+// have served all the time and go on to.
+func TestEntriesLapseWithTheStore(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 4, quick)
+	out := s.during(5*time.Second, 2, func() {
+		s.store.SetTrouble(platformtest.Busy)
+		time.Sleep(1500 * time.Millisecond)
+		for _, w := range s.workers {
+			s.store.Remove("servers/" + w.ID)
+		}
+		s.store.SetTrouble(platformtest.None)
+		time.Sleep(1500 * time.Millisecond)
+		for _, w := range s.workers {
+			s.store.Put("servers/"+w.ID, w.Entry(false))
+		}
+	})
+	assert.Equal(t, out.refused+out.unclear, 0)
+}
+
+// A worker says that it is leaving: it gets nothing new within two seconds.
+func TestDrainingWorker(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 4, quick)
+	w := s.workers[0]
+	s.during(4*time.Second, 2, func() {
+		s.store.Put("servers/"+w.ID, w.Entry(true))
+		time.Sleep(2 * time.Second)
+		// From here on each start on it would be one too many.
+		w.SetManners(platformtest.Manners{Fail: true, Work: time.Millisecond})
+	})
+	for _, d := range s.daemons {
+		assert.Assert(t, !strings.Contains(d.Log(), "worker_ejected"), "a leaving worker got tasks")
+	}
+}
+
+// The configuration changes while the store forgets its history: routes come and go on
+// every daemon within two seconds, and a daemon without configuration says 503.
+func TestConfigurationInForce(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 4, quick)
+	s.configure(5, prefix, "/added/")
+	s.store.Forget()
+	s.inForce("/added/", http.StatusOK, 2*time.Second)
+	s.configure(9, prefix)
+	s.inForce("/added/", http.StatusNotFound, 2*time.Second)
+	s.configure(7, prefix, "/added/") // an older version never comes back in force
+	time.Sleep(1500 * time.Millisecond)
+	s.inForce("/added/", http.StatusNotFound, time.Second)
+}
+
+// SIGHUP asks to read the settings again; it doesn't end the process.
+func TestHangUp(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1, 2, quick)
+	s.daemons[0].HangUp()
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, s.daemons[0].isReady())
+	assert.Assert(t, strings.Contains(s.daemons[0].Log(), "settings_reloaded"))
+}
+
+// inForce waits until all daemons answer a path with a status.
+func (s *system) inForce(path string, want int, within time.Duration) {
+	s.t.Helper()
+	until := time.Now().Add(within)
+	for i, d := range s.daemons {
+		for n := 0; ; n++ {
+			status, _ := s.post(context.Background(), d, path, fmt.Sprintf("f%d%d%d", i, n, time.Now().UnixNano()), 1, 3*time.Second)
+			if status == want {
+				break
+			}
+			if time.Now().After(until) {
+				s.t.Fatalf("%s answers %s with %d, not %d", d.name, path, status, want)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/test/leased/fleet_test.go
@@ -0,0 +1,285 @@
+package leased
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/platform/platformtest"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+)
+
+const (
+	service = "quotes"
+	host    = "caller.example"
+	prefix  = "/jobs/"
+	// resendAfter is when callers send a job again that got no answer.
+	resendAfter = 1300 * time.Millisecond
+	// taskCPU is what each task asks for; workers have room for two.
+	taskCPU   = 4000
+	workerCPU = 8000
+	// readyWithin bounds the start of a daemon with its peers.
+	readyWithin = 10 * time.Second
+)
+
+// daemon is one process and its place.
+type daemon struct {
+	*cluster.Process
+	t                     *testing.T
+	name                  string
+	front, ready, control string
+	settings              string
+}
+
+// system is a store, workers and daemons.
+type system struct {
+	t       *testing.T
+	store   *platformtest.Store
+	workers []*platformtest.Worker
+	witness *platformtest.Witness
+	daemons []*daemon
+}
+
+// start runs daemons and workers, by turns in two failure domains, and waits until they serve.
+func start(t *testing.T, daemons, workers int, m platformtest.Manners) *system {
+	t.Helper()
+	s := &system{t: t, store: platformtest.NewStore(), witness: platformtest.NewWitness()}
+	t.Cleanup(s.store.Close)
+	s.configure(1, prefix)
+	for i := range workers {
+		s.addWorker(fmt.Sprintf("w%d", i), domain(i), m)
+	}
+	var seeds []string
+	for i := range daemons {
+		d := &daemon{t: t, name: fmt.Sprintf("d%d", i), front: freeAddress(t), ready: freeAddress(t), control: freeAddress(t)}
+		d.settings = filepath.Join(t.TempDir(), "settings.toml")
+		seeds = append(seeds, d.control)
+		s.daemons = append(s.daemons, d)
+	}
+	for i, d := range s.daemons {
+		d.write(s, domain(i), seeds)
+		d.run()
+	}
+	for _, d := range s.daemons {
+		d.await()
+	}
+	s.settle()
+	return s
+}
+
+func domain(i int) string { return []string{"a", "b"}[i%2] }
+
+func (s *system) addWorker(id, zone string, m platformtest.Manners) *platformtest.Worker {
+	w := platformtest.NewWorker(id, zone, service, workerCPU, taskCPU, m, s.witness)
+	s.t.Cleanup(w.Close)
+	s.workers = append(s.workers, w)
+	s.store.Put("servers/"+id, w.Entry(false))
+	return w
+}
+
+func (s *system) configure(version int, prefixes ...string) {
+	routes := []map[string]any{}
+	for i, p := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r%d", i), "host": host, "prefix": p, "service": service, "timeout-ms": 1500,
+			"target-latency-ms": 60, "priority": 0, "attempts": 3, "stretch": 1.6,
+		})
+	}
+	s.store.Put("op/config", map[string]any{"version": version, "routes": routes, "services": []any{}, "limits": map[string]any{}})
+}
+
+// settle waits until a job is served by each daemon.
+func (s *system) settle() {
+	s.t.Helper()
+	for i, d := range s.daemons {
+		for until := time.Now().Add(readyWithin); ; {
+			status, _ := s.post(context.Background(), d, prefix, fmt.Sprintf("settle%d%d", i, time.Now().UnixNano()), 1, 5*time.Second)
+			if status == http.StatusOK {
+				break
+			}
+			if time.Now().After(until) {
+				s.t.Fatalf("%s serves nothing: %d", d.name, status)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *daemon) write(s *system, zone string, seeds []string) {
+	quoted := make([]string, len(seeds))
+	for i, a := range seeds {
+		quoted[i] = fmt.Sprintf("%q", a)
+	}
+	text := fmt.Sprintf(`node = %q
+zone = %q
+ip = "127.0.0.1"
+heartbeat-ms = 1500
+seeds = [%s]
+[listen]
+front = %q
+ready = %q
+control = %q
+[limits]
+memory-mb = 256
+[bounds]
+max-hold-ms = 1000
+stop-timeout-ms = 50
+grace-s = 6
+[platform]
+address = %q
+min-ttl-ms = 1000
+`, d.name, zone, strings.Join(quoted, ","), d.front, d.ready, d.control, s.store.Address())
+	assert.NilError(s.t, os.WriteFile(d.settings, []byte(text), 0o600))
+}
+
+func (d *daemon) run() {
+	d.Process = cluster.RunLogged(d.t, d.name, []string{"LAVENDERCLEAT_SETTINGS=" + d.settings, "LAVENDERCLEAT_STOP_DELAY=300ms"}, "node")
+}
+
+func (d *daemon) isReady() bool {
+	resp, err := http.Get("http://" + d.ready + "/lavendercleat/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (d *daemon) await() {
+	d.t.Helper()
+	for until := time.Now().Add(readyWithin); !d.isReady(); {
+		if time.Now().After(until) {
+			d.t.Fatalf("%s is not ready", d.name)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// post sends a job once; status 0 means no answer.
+func (s *system) post(ctx context.Context, d *daemon, path, id string, tasks int, patience time.Duration) (int, string) {
+	body := fmt.Sprintf(`{"spec":"x","best-effort":true,"steps":[{"count":%d,"cpu":%d,"mem-mb":64,"estimate-ms":100}]}`, tasks, taskCPU)
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front+path+id, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = host
+	req.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	req.Header.Set("Request-Id", "req-"+id)
+	// A connection of its own: a caller that shares one would share its faults.
+	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	var state struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(b, &state)
+	return resp.StatusCode, state.State
+}
+
+// tally counts what callers were told.
+type tally struct {
+	mu                                     sync.Mutex
+	completed, refused, unclear, abandoned int
+	notRun                                 []string
+}
+
+// load sends jobs from callers until ctx ends. A caller whose job got no clear answer
+// sends it again, to another daemon.
+func (s *system) load(ctx context.Context, callers, tasks int) *tally {
+	out := new(tally)
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				s.oneJob(fmt.Sprintf("c%dn%d", c, n), c+n, tasks, out)
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+const tries = 4
+
+func (s *system) oneJob(id string, seed, tasks int, out *tally) {
+	for try := range tries {
+		status, _ := s.post(context.Background(), s.daemons[(seed+try)%len(s.daemons)], prefix, id, tasks, 4*time.Second)
+		out.mu.Lock()
+		switch status {
+		case http.StatusOK:
+			out.completed++
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			out.refused++
+			if try == 0 {
+				out.notRun = append(out.notRun, id)
+			}
+		default:
+			out.unclear++
+		}
+		out.mu.Unlock()
+		if status == http.StatusOK || status == http.StatusServiceUnavailable {
+			if status != http.StatusOK {
+				time.Sleep(50 * time.Millisecond)
+			}
+			return
+		}
+		time.Sleep(resendAfter)
+	}
+	out.mu.Lock()
+	out.abandoned++
+	out.mu.Unlock()
+}
+
+// check verifies what must hold whatever happens.
+func (s *system) check(out *tally) {
+	s.t.Helper()
+	assert.Equal(s.t, strings.Join(s.witness.Doubled(), " "), "", "a task ran twice at the same time")
+	starts := s.witness.Starts()
+	for _, id := range out.notRun {
+		for name := range starts {
+			assert.Assert(s.t, !strings.HasPrefix(name, id+"."), "job %s was refused as not run, and %s was started", id, name)
+		}
+	}
+	s.t.Logf("completed=%d refused=%d unclear=%d abandoned=%d", out.completed, out.refused, out.unclear, out.abandoned)
+}
+
+// during runs f while callers send jobs for d, then checks.
+func (s *system) during(d time.Duration, callers int, f func()) *tally {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	done := make(chan *tally, 1)
+	go func() { done <- s.load(ctx, callers, 2) }()
+	f()
+	out := <-done
+	s.check(out)
+	return out
+}
