--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -17,6 +17,8 @@
 	lostWait = 600 * time.Millisecond
 	// maxOffers bounds the tries to place one task.
 	maxOffers = 12
+	// maxPark bounds the wait of a job for any worker at all; a quarter of its time does too.
+	maxPark = 700 * time.Millisecond
 	// minRetryAfter is the least time after which a refused caller is told to come back.
 	minRetryAfter = 500 * time.Millisecond
 )
@@ -48,11 +50,19 @@
 	out   Output
 	// takenOver holds, for a lost executor, its workers that no successor has taken over yet.
 	takenOver map[member.Process]map[string]bool
+	// successors holds who took a worker over last and when.
+	successors map[string]succession
+}
+
+// succession is the takeover of a worker.
+type succession struct {
+	by member.Process
+	at time.Duration
 }
 
 // New returns a coordinator of the given process.
 func New(self member.Process) *Coordinator {
-	return &Coordinator{self: self, jobs: make(map[string]*job), takenOver: make(map[member.Process]map[string]bool)}
+	return &Coordinator{self: self, jobs: make(map[string]*job), takenOver: make(map[member.Process]map[string]bool), successors: make(map[string]succession)}
 }
 
 // Drain returns what the embedder has to carry out since the last call.
@@ -74,12 +84,24 @@
 // Submit takes a job. Its answer comes through Drain, at once where it is refused.
 func (c *Coordinator) Submit(now time.Duration, j Job) {
 	n := newJob(now, j)
+	n.parkedTo = now + min(maxPark, (j.Deadline-now)/4)
 	c.jobs[j.ID] = n
-	if reason, after := c.refusal(now, n); reason != "" {
-		c.answer(now, n, Refused, reason, after)
-		return
+	c.admit(now, n)
+}
+
+// admit releases a job or refuses it. Without any worker it is parked for a moment: after
+// a restart of the fleet workers are taken over within some hundred ms, and a refused
+// caller doesn't come back.
+func (c *Coordinator) admit(now time.Duration, j *job) {
+	reason, after := c.refusal(now, j)
+	j.parked = reason == ReasonNoWorkers && now < j.parkedTo
+	switch {
+	case j.parked:
+	case reason != "":
+		c.answer(now, j, Refused, reason, after)
+	default:
+		c.release(now, j)
 	}
-	c.release(now, n)
 }
 
 // refusal decides whether a job can't be served. While there is room for its first
@@ -96,7 +118,7 @@
 		}
 		worst = max(worst, wait)
 	}
-	if slack := j.due - now - longestChain(j.Steps); worst > slack {
+	if slack := max(j.due-now-longestChain(j.Steps), 0); worst > slack {
 		return ReasonNoRoom, max(worst-slack, minRetryAfter)
 	}
 	return "", 0
@@ -173,9 +195,25 @@
 		j.mayHaveRun = true
 		t.worker = r.Worker
 		c.lose(now, t)
+		c.claimLate(now, t)
 	}
 }
 
+// claimLate claims a task from a successor whose question came before the news that the
+// task had run there. The run may have been stopped as unclaimed meanwhile; then the
+// successor says when it is over.
+func (c *Coordinator) claimLate(now time.Duration, t *jobTask) {
+	s, ok := c.successors[t.worker]
+	if !ok || now-s.at > lostWait || c.rooms.get(s.by) == nil {
+		return
+	}
+	t.state, t.holder = offered, s.by
+	c.event("task_claimed", t, "late")
+	c.out.Messages = append(c.out.Messages, Message{To: s.by, Claims: &executor.Claims{
+		Owner: c.self, Worker: t.worker, Tasks: []task.Task{t.Task},
+	}})
+}
+
 func (c *Coordinator) taskDone(now time.Duration, j *job, t *jobTask) {
 	j.mayHaveRun = true
 	t.state = done
@@ -222,7 +260,6 @@
 	}
 	if r.Reason == executor.ReasonNoWorker {
 		if h := c.rooms.get(t.holder); h != nil {
-			delete(h.Capacity, t.Service)
 			h.Rooms = nil
 		}
 	}
@@ -271,8 +308,9 @@
 		running[r.ID] = r.Run
 	}
 	claims := executor.Claims{Owner: c.self, Worker: t.Worker}
+	c.successors[t.Worker] = succession{from, now}
 	for _, r := range t.Running {
-		if jt := c.lookup(r.ID); jt != nil && jt.state != done && jt.Run <= r.Run && (jt.state == lost || jt.worker == t.Worker || jt.worker == "") {
+		if jt := c.lookup(r.ID); jt != nil && jt.Run <= r.Run && (jt.state == lost || jt.state == offered && jt.worker == t.Worker) {
 			jt.Run, jt.state, jt.holder, jt.worker = r.Run, offered, from, t.Worker
 			c.jobs[r.ID.Job].mayHaveRun = true
 			claims.Tasks = append(claims.Tasks, jt.Task)
@@ -292,13 +330,17 @@
 // endedBefore takes an end that the worker listed for an earlier holder.
 func (c *Coordinator) endedBefore(now time.Duration, workerID string, r task.RunningTask) {
 	t := c.lookup(r.ID)
-	if t == nil || t.Run != r.Run || t.state != lost && t.worker != workerID {
+	if t == nil || t.Run != r.Run || t.state != lost && (t.state != offered || t.worker != workerID) {
+		return
+	}
+	// An end of a run that isn't known to have been there may be that of an earlier try of
+	// the caller, under the same number: it proves the work done, but not this run over.
+	if t.worker != workerID && !r.Done {
 		return
 	}
 	j := c.jobs[r.ID.Job]
 	report := task.Report{ID: r.ID, Run: r.Run, Worker: workerID, Outcome: task.Gone, Reason: "ended_before_takeover"}
 	switch {
-	case t.state == done || t.state == blocked:
 	case r.Done:
 		c.taskDone(now, j, t)
 	case r.Failed:
@@ -358,6 +400,10 @@
 // Tick lets time pass: deadlines and lost tasks.
 func (c *Coordinator) Tick(now time.Duration) {
 	for _, j := range c.sorted() {
+		if j.parked {
+			c.admit(now, j)
+			continue
+		}
 		if now >= j.Deadline {
 			c.giveUp(now, j, ReasonDeadline)
 			continue
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -119,8 +119,10 @@
 	left []int
 	// mayHaveRun is set once a worker may have started a task.
 	mayHaveRun bool
-	// out counts the tasks that are offered or lost.
-	ended bool
+	ended      bool
+	// parked jobs wait for a worker until parkedTo.
+	parked   bool
+	parkedTo time.Duration
 }
 
 // newJob lays out the tasks.
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -20,8 +20,6 @@
 	Rooms []executor.Room
 	// Backlog is the work in core-ms that waits there, by service.
 	Backlog map[string]int64
-	// Capacity is the processors of its workers in thousandths of a core, by service.
-	Capacity map[string]int64
 	// Leaving executors get nothing new.
 	Leaving bool
 }
@@ -86,11 +84,13 @@
 	var best *Holder
 	var wait time.Duration
 	for _, h := range r.holders {
-		c := h.Capacity[t.Service]
-		if h.Leaving || c <= 0 {
+		if h.Leaving {
+			continue
+		}
+		w, ok := h.wait(t)
+		if !ok {
 			continue
 		}
-		w := h.wait(t)
 		if best == nil || w < wait {
 			best, wait = h, w
 		}
@@ -98,10 +98,24 @@
 	return best, wait
 }
 
-// wait is the time for which the work that waits keeps the executor's workers busy.
-func (h *Holder) wait(t *task.Task) time.Duration {
-	work := h.Backlog[t.Service] + t.Demand.MilliCPU*t.Expected.Milliseconds()/1000
-	return time.Duration(work*1000/h.Capacity[t.Service]) * time.Millisecond
+// maxCopies bounds how many tasks count as fitting on one worker at a time.
+const maxCopies = 1000
+
+// wait is the time for which the work that waits keeps the executor's workers busy; ok is
+// false when none of them may run the task. Workers are counted by the number of such
+// tasks that fit on them: a part of a worker too small for one task is no room.
+func (h *Holder) wait(t *task.Task) (d time.Duration, ok bool) {
+	copies := 0
+	for _, r := range h.Rooms {
+		if r.Open && r.Service == t.Service {
+			copies += t.Demand.Copies(r.Total, maxCopies)
+		}
+	}
+	if copies == 0 {
+		return 0, false
+	}
+	waiting := h.Backlog[t.Service] * 1000 / max(t.Demand.MilliCPU, 1)
+	return time.Duration(waiting/int64(copies)) * time.Millisecond, true
 }
 
 // charge adds a task to the work that waits at an executor.
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -37,6 +37,11 @@
 	if a.Verdict != OK {
 		e.event("start_answered", w, r, a.Verdict.String())
 	}
+	if taken := w.phase == yielded || w.phase == released; taken && (a.Verdict == OK || a.Verdict == Unknown) {
+		w.remove(r)
+		e.moved(w, r)
+		return
+	}
 	switch a.Verdict {
 	case OK:
 		e.confirm(r, w, a.Clock)
@@ -133,9 +138,10 @@
 func (e *Executor) judge(now time.Duration, w *worker, o task.Outcome) {
 	switch o {
 	case task.Done:
-		w.failures, w.pause = 0, 0
+		w.failures, w.pause, w.probing = 0, 0, false
 	case task.Failed:
 		if w.failures++; w.failures >= failuresToEject {
+			w.probing = true
 			w.closeFor(now, shedPause)
 			e.event("worker_ejected", w, nil, fmt.Sprintf("failures=%d pause=%s", w.failures, w.pause))
 		}
@@ -176,13 +182,24 @@
 	}
 	e.event("worker_taken", w, nil, fmt.Sprintf("runs=%d", len(w.runs)))
 	for _, r := range w.sorted() {
-		w.remove(r)
-		if !r.discard && r.task != nil {
-			e.report(r.owner, task.Report{ID: r.id, Run: r.num, Outcome: task.Moved, Worker: w.info.ID, Reason: "worker_taken"})
+		if r.state == starting {
+			continue // its answer tells whether the order was obeyed
 		}
+		w.remove(r)
+		e.moved(w, r)
 	}
 	w.phase = yielded
 	w.nextPoll = now + yieldTime
+	if !w.wanted {
+		w.phase = released
+	}
+}
+
+// moved tells a run's coordinator that another executor looks after the worker.
+func (e *Executor) moved(w *worker, r *run) {
+	if !r.discard && r.task != nil {
+		e.report(r.owner, task.Report{ID: r.id, Run: r.num, Outcome: task.Moved, Worker: w.info.ID, Reason: "worker_taken"})
+	}
 }
 
 func (e *Executor) pollAnswered(now time.Duration, w *worker, c Call, a Answer) {
@@ -240,6 +257,7 @@
 			e.end(now, w, r, outcomeOf(f), f.How)
 		}
 	}
+	w.listedAt = now
 	shown := make(map[task.ID]Listed, len(a.Running))
 	for _, l := range a.Running {
 		shown[l.ID] = l
@@ -347,12 +365,16 @@
 		e.report(owner, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Gone, Worker: w.info.ID, Reason: "not_listed"})
 		return
 	}
-	if r.task != nil || r.state == stopping {
+	if r.task != nil {
 		return
 	}
 	w.remove(r)
 	r.task, r.owner = t, owner
 	w.add(r)
+	if r.state == stopping {
+		r.discard = false // too late to go on, but its end is worth knowing
+		return
+	}
 	e.report(owner, task.Report{ID: r.id, Run: r.num, Outcome: task.Started, Worker: w.info.ID, Reason: "claimed"})
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -49,7 +49,8 @@
 		e.assign(now, i)
 	}
 	for _, w := range e.order {
-		if !wanted[w.info.ID] && w.phase != released && w.phase != held && w.phase != claiming {
+		w.wanted = wanted[w.info.ID]
+		if !w.wanted && w.phase != held && w.phase != claiming {
 			w.phase = released
 		}
 	}
@@ -59,13 +60,13 @@
 func (e *Executor) assign(now time.Duration, i WorkerInfo) {
 	w := e.workers[i.ID]
 	if w == nil {
-		w = &worker{info: i, runs: make(map[task.ID]*run), nextPoll: now}
+		w = &worker{info: i, wanted: true, runs: make(map[task.ID]*run), nextPoll: now}
 		e.workers[i.ID] = w
 		at, _ := slices.BinarySearchFunc(e.order, i.ID, func(w *worker, id string) int { return cmp.Compare(w.info.ID, id) })
 		e.order = slices.Insert(e.order, at, w)
 		return
 	}
-	w.info = i
+	w.info, w.wanted = i, true
 	if w.phase == released {
 		w.phase, w.nextPoll = acquiring, now
 	}
@@ -291,7 +292,7 @@
 	rooms := make([]Room, 0, len(e.order))
 	for _, w := range e.order {
 		if w.phase == held || w.phase == claiming {
-			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Free: w.free(), Open: w.open(now)})
+			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Free: w.free(), Total: w.info.Capacity, Open: w.open(now)})
 		}
 	}
 	return rooms
@@ -324,15 +325,3 @@
 	}
 	return runningTasks, len(e.queue)
 }
-
-// Capacity returns the processors of the workers that take new runs, in thousandths of a
-// core, by service.
-func (e *Executor) Capacity(now time.Duration) map[string]int64 {
-	c := make(map[string]int64)
-	for _, w := range e.order {
-		if w.open(now) {
-			c[w.info.Service] += w.info.Capacity.MilliCPU
-		}
-	}
-	return c
-}
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -160,6 +160,7 @@
 	Worker  string
 	Service string
 	Free    capacity.Vector
+	Total   capacity.Vector
 	// Open is false while the worker gets no new runs.
 	Open bool
 }
--- a/executor/polls.go
+++ b/executor/polls.go
@@ -13,6 +13,9 @@
 	c := Call{Kind: CallPoll, Acknowledge: w.cursor, Wait: idleWait}
 	if len(w.runs) > 0 {
 		c.Wait = busyWait
+		if w.overdue(now) {
+			c.Wait = overdueWait
+		}
 		if at, ok := w.now(now); ok && w.silent < 2 {
 			c.Deadline = at + e.config.Lease.Milliseconds()
 		}
@@ -85,10 +88,11 @@
 		if r.state != running || r.task == nil || w.silent > 0 {
 			continue
 		}
-		if now-r.changed < standstill+r.task.Expected/8 {
+		if now-r.changed < standstill+r.task.Expected/8 || now-w.listedAt > standstill/2 {
 			continue
 		}
 		e.event("run_stands_still", w, r, fmt.Sprintf("percent=%d for=%s", r.percent, now-r.changed))
+		w.probing = true
 		w.closeFor(now, standstillPause)
 		r.changed = now
 		e.stopForRestart(now, w, r)
@@ -103,8 +107,21 @@
 
 const (
 	// standstill is the time without progress after which a run is stopped, beside an
-	// eighth of its expected time. Lists come at least every busyWait.
-	standstill = 2*busyWait + 100*time.Millisecond
+	// eighth of its expected time. Lists come at least every overdueWait by then.
+	standstill = 3 * overdueWait
 	// standstillPause closes the worker of such a run.
-	standstillPause = 2 * time.Second
+	standstillPause = time.Second
+	// overdueWait is the longest wait of a poll while a run makes no progress.
+	overdueWait = 100 * time.Millisecond
 )
+
+// overdue reports whether a run has made no progress for overdueWait: lists are then
+// asked for more often, so that a standstill is told from a long task soon.
+func (w *worker) overdue(now time.Duration) bool {
+	for _, r := range w.runs {
+		if now-r.changed >= overdueWait {
+			return true
+		}
+	}
+	return false
+}
--- a/executor/takeover_test.go
+++ b/executor/takeover_test.go
@@ -101,3 +101,47 @@
 	assert.Assert(t, again.Worker != c.Worker)
 	assert.Equal(t, again.ID, c.ID)
 }
+
+// A worker is assigned to another daemon while this one still uses it, and is then taken.
+// Taking it back would have two daemons take it from each other every 1.5 s for ever.
+func TestUnassignedWorkerIsNotTakenBack(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1", "w2")
+	r.e.SetWorkers(r.now, []WorkerInfo{workerNamed("w2")})
+	r.started(ownerA, testTask("j", 0))
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Fenced})
+	r.pass(3 * yieldTime)
+	for _, c := range r.calls {
+		assert.Assert(t, c.Worker != "w1", "took an unassigned worker back")
+	}
+}
+
+// A start is under way when its worker turns out to be taken. Its answer tells whether it
+// was obeyed: refused for its token, the task has not run and waits for another worker,
+// where "moved" would have its coordinator wait for a run that isn't there.
+func TestStartUnderWayWhenTaken(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1", "w2")
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "")
+	r.answer(r.take(CallPoll, c.Worker), Answer{Verdict: Fenced})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "")
+	r.answer(c, Answer{Verdict: Fenced})
+	assert.Assert(t, r.take(CallStart, "").Worker != c.Worker)
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "")
+}
+
+// A claim comes when the run is being stopped as unclaimed: its coordinator is told when
+// it is over, or it would wait for an answer that never comes.
+func TestLateClaimIsAnswered(t *testing.T) {
+	r := newRig(t)
+	mine := testTask("j", 0)
+	mine.Run = 3
+	takeOver(r, mine.ID)
+	r.e.Claimed(r.now, Claims{Owner: ownerA, Worker: "w1"})
+	r.e.Claimed(r.now, Claims{Owner: ownerB, Worker: "w1"})
+	r.e.Claimed(r.now, Claims{Owner: ownerA, Worker: "w1", Tasks: []task.Task{mine}})
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: OK})
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, mine.ID, 3, "stopped")}})
+	assert.Equal(t, r.outcomes(ownerA, mine.ID), "gone ")
+}
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -72,8 +72,10 @@
 type worker struct {
 	info  WorkerInfo
 	phase phase
-	token uint64
-	clock clock
+	// wanted: the worker is assigned to this daemon.
+	wanted bool
+	token  uint64
+	clock  clock
 	// granted is the latest lease end that any order of this holder may have set.
 	granted int64
 	cursor  uint64
@@ -83,12 +85,17 @@
 	polling, looking bool
 	// nextPoll is when an unheld worker is polled again, nextLook when a doubt is looked into.
 	nextPoll, nextLook time.Duration
+	// listedAt is when the worker's lists were last read.
+	listedAt time.Duration
 	// silent counts polls in a row without an answer.
 	silent int
 	// pausedUntil closes the worker for new runs; pause is the length of the last pause.
 	pausedUntil, pause time.Duration
 	// failures counts failed runs in a row.
 	failures int
+	// probing: after it was closed for its runs, the worker gets one task at a time until
+	// one has ended well.
+	probing bool
 	// claimBy is when unclaimed runs are stopped; waiting holds who has not answered yet.
 	claimBy time.Duration
 	waiting map[member.Process]bool
@@ -123,7 +130,8 @@
 // open reports whether new runs may start.
 func (w *worker) open(now time.Duration) bool {
 	_, known := w.now(now)
-	return w.phase == held && known && !w.info.Draining && w.silent == 0 && now >= w.pausedUntil
+	return w.phase == held && known && !w.info.Draining && w.silent == 0 && now >= w.pausedUntil &&
+		(!w.probing || len(w.runs) == 0)
 }
 
 // serves reports whether the worker may run the task at all.
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -32,6 +32,8 @@
 	// frontHeaderTimeout and frontIdleTimeout bound what a caller's connection may hold.
 	frontHeaderTimeout = 3 * time.Second
 	frontIdleTimeout   = 60 * time.Second
+	// closeTimeout bounds the wait for answers under way to be written at a stop.
+	closeTimeout = 300 * time.Millisecond
 	// nodeStopMargin is added to the daemon's own limits for a planned stop.
 	nodeStopMargin = 2 * time.Second
 )
@@ -120,6 +122,9 @@
 	front.NoRoute(func(c *gin.Context) {
 		// gin has set 404 for a path without a route; the handler decides.
 		c.Status(http.StatusOK)
+		if n.Stopping() {
+			c.Header("Connection", "close") // callers on open connections go elsewhere
+		}
 		platform.NewFront(n).ServeHTTP(c.Writer, c.Request)
 	})
 	server := func(h http.Handler) *http.Server {
@@ -164,6 +169,8 @@
 	}})
 	lc.Append(fx.Hook{OnStart: servers.start, OnStop: func(ctx context.Context) error {
 		n.Drain(ctx)
+		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+		defer cancel()
 		return servers.stop(ctx)
 	}})
 }
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -49,6 +49,10 @@
 	lastNamed time.Time
 	// ackDue: the peer waits for an acknowledgement.
 	ackDue bool
+	// pulseDue asks for a heartbeat at once: the link comes up by it.
+	pulseDue bool
+	// failed: an attempt to reach the peer has failed.
+	failed bool
 }
 
 func newLink(m *Mesh, a netip.AddrPort) *link {
@@ -100,6 +104,9 @@
 func (l *link) run() {
 	for l.mesh.ctx.Err() == nil {
 		err := l.connect()
+		l.mu.Lock()
+		l.failed = l.failed || err != nil
+		l.mu.Unlock()
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			l.lose(true)
 		}
@@ -217,6 +224,7 @@
 // flush writes what is queued, and a pulse.
 func (l *link) flush(c net.Conn, w *bufio.Writer, pulse bool) error {
 	var p *schema.Pulse
+	pulse = l.takePulseDue() || pulse
 	if pulse {
 		p = l.mesh.handler.Pulse()
 	}
@@ -248,6 +256,20 @@
 	return w.Flush()
 }
 
+func (l *link) takePulseDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	due := l.pulseDue
+	l.pulseDue = false
+	return due
+}
+
+func (l *link) settled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up || l.failed
+}
+
 // silentFor is the age of the latest pulse of ours that the peer echoed.
 func (l *link) silentFor() time.Duration {
 	l.mu.Lock()
@@ -382,6 +404,10 @@
 func (l *link) pulsed(p *schema.Pulse) bool {
 	l.echo = p.GetSentMs()
 	l.echoed = max(l.echoed, p.GetEchoMs())
+	if !l.up {
+		l.pulseDue = true
+		l.poke()
+	}
 	if l.up || l.connected != l.peer.Incarnation || p.GetEchoMs() <= l.lost {
 		return false
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -135,6 +135,18 @@
 	return list
 }
 
+// Settled reports whether each known peer is up or was found not to answer.
+func (m *Mesh) Settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if !l.settled() {
+			return false
+		}
+	}
+	return true
+}
+
 // link returns the link to an address, made when there is none.
 func (m *Mesh) link(a netip.AddrPort) *link {
 	m.mu.Lock()
--- a/internal/node/convert.go
+++ b/internal/node/convert.go
@@ -117,17 +117,17 @@
 func holderFromPulse(p member.Process, near int, pulse *schema.Pulse) coordinator.Holder {
 	h := coordinator.Holder{
 		Process: p, Near: near, Leaving: pulse.GetLeaving() || !pulse.GetServing(),
-		Backlog: make(map[string]int64), Capacity: make(map[string]int64),
+		Backlog: make(map[string]int64),
 	}
 	for _, r := range pulse.GetRooms() {
 		h.Rooms = append(h.Rooms, executor.Room{
 			Worker: r.GetWorker(), Service: r.GetService(), Open: r.GetOpen(),
-			Free: capacity.Vector{MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), GPUs: r.GetGpus()},
+			Free:  capacity.Vector{MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), GPUs: r.GetGpus()},
+			Total: capacity.Vector{MilliCPU: r.GetTotalMilliCpu(), MemoryMB: r.GetTotalMemoryMb(), GPUs: r.GetTotalGpus()},
 		})
 	}
 	for _, b := range pulse.GetBacklogs() {
 		h.Backlog[b.GetService()] = b.GetCoreMs()
-		h.Capacity[b.GetService()] = b.GetCapacityMilliCpu()
 	}
 	return h
 }
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// settleTime is how long a new process waits for its peers before it takes workers
-	// over: without it each new process would take every worker for itself first.
-	settleTime = 500 * time.Millisecond
+	// settleTime is how long a new process waits at most for its peers to be up or found
+	// gone before it takes workers over: without it each new process would take every
+	// worker for itself first.
+	settleTime = 600 * time.Millisecond
 	// tellPeersEvery is how often heartbeats name the peers: those that a new process
 	// doesn't know are found by it, also without the store.
 	tellPeersEvery = time.Second
@@ -138,7 +139,7 @@
 func (n *Node) fleetTick(now time.Duration) {
 	f := &n.fleet
 	changed := f.dropMissing(now)
-	if !f.settled && now >= settleTime && len(f.workers) > 0 {
+	if !f.settled && len(f.workers) > 0 && (n.mesh.Settled() || now >= settleTime) {
 		f.settled = true
 		changed = true
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,8 +133,18 @@
 	for ctx.Err() == nil && n.jobs() > 0 {
 		sleep(ctx, tickEvery)
 	}
+	// A caller whose job is too long for the grace time gets an answer all the same.
+	n.do(func(now time.Duration) {
+		for id := range n.waiters {
+			n.coordinator.Cancel(now, id)
+			n.answered(coordinator.Answer{Job: id, Status: coordinator.GivenUp, Reason: coordinator.ReasonStopping})
+		}
+	})
 }
 
+// Stopping reports whether a planned stop is under way.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
 func (n *Node) jobs() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -184,7 +194,7 @@
 // ownHolder is what this daemon's executor has left.
 func (n *Node) ownHolder(now time.Duration) coordinator.Holder {
 	return coordinator.Holder{
-		Process: n.self.Process, Rooms: n.executor.Rooms(now), Backlog: n.executor.Backlog(), Capacity: n.executor.Capacity(now),
+		Process: n.self.Process, Rooms: n.executor.Rooms(now), Backlog: n.executor.Backlog(),
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -57,11 +57,11 @@
 		p.Rooms = append(p.Rooms, &schema.Room{
 			Worker: r.Worker, Service: r.Service, Open: r.Open,
 			MilliCpu: r.Free.MilliCPU, MemoryMb: r.Free.MemoryMB, Gpus: r.Free.GPUs,
+			TotalMilliCpu: r.Total.MilliCPU, TotalMemoryMb: r.Total.MemoryMB, TotalGpus: r.Total.GPUs,
 		})
 	}
-	backlog := n.executor.Backlog()
-	for service, c := range n.executor.Capacity(now) {
-		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: backlog[service], CapacityMilliCpu: c})
+	for service, work := range n.executor.Backlog() {
+		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: work})
 	}
 	if n.fleet.tellPeers(now) {
 		for a := range n.fleet.up {
