--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -195,16 +195,17 @@
 		j.mayHaveRun = true
 		t.worker = r.Worker
 		c.lose(now, t)
-		c.claimLate(now, t)
+		c.claimLate(now, from, t)
 	}
 }
 
 // claimLate claims a task from a successor whose question came before the news that the
 // task had run there. The run may have been stopped as unclaimed meanwhile; then the
-// successor says when it is over.
-func (c *Coordinator) claimLate(now time.Duration, t *jobTask) {
+// successor says when it is over. A successor that has lost the worker again itself is not
+// asked: it would say "moved" for ever.
+func (c *Coordinator) claimLate(now time.Duration, from member.Process, t *jobTask) {
 	s, ok := c.successors[t.worker]
-	if !ok || now-s.at > lostWait || c.rooms.get(s.by) == nil {
+	if !ok || s.by == from || now-s.at > lostWait || c.rooms.get(s.by) == nil {
 		return
 	}
 	t.state, t.holder = offered, s.by
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -351,3 +351,20 @@
 	r.c.Tick(r.now)
 	assert.Equal(t, len(r.offers(self)), 1)
 }
+
+// The successor has lost the worker again and says so. Asking it once more would have the
+// two answer each other without end, which keeps the processor from everything else.
+func TestSuccessorThatLostTheWorkerIsNotAsked(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(self)[0]
+	r.report(self, x, task.Started, "w2", "")
+	r.c.TakenOver(r.now, self, executor.Takeover{Worker: "w2"})
+	r.drain()
+	r.messages = nil
+	r.report(self, x, task.Moved, "w2", "not_held")
+	for _, m := range r.messages {
+		assert.Assert(t, m.Claims == nil)
+	}
+}
