--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -184,10 +184,8 @@
 	case task.Done:
 		c.taskDone(now, j, t)
 	case task.Failed:
-		j.mayHaveRun = true
 		c.taskFailed(now, j, t, r)
 	case task.Gone:
-		j.mayHaveRun = true
 		c.restart(now, j, t, r)
 	case task.NotRun:
 		c.notRun(now, j, t, r)
@@ -230,7 +228,7 @@
 
 func (c *Coordinator) taskFailed(now time.Duration, j *job, t *jobTask, r task.Report) {
 	t.failures++
-	t.state = blocked
+	t.state, j.mayHaveRun = blocked, true
 	if t.failures >= j.Attempts {
 		c.answer(now, j, TaskFailed, "", 0)
 		return
@@ -241,7 +239,7 @@
 
 // restart offers a task again whose run is proved over, unless it can't end in time.
 func (c *Coordinator) restart(now time.Duration, j *job, t *jobTask, r task.Report) {
-	t.state = blocked
+	t.state, j.mayHaveRun = blocked, true
 	c.event("task_restarted", t, fmt.Sprintf("outcome=%s reason=%s failures=%d", r.Outcome, r.Reason, t.failures))
 	if now >= t.StartBy {
 		c.giveUp(now, j, ReasonTooLate)
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -368,3 +368,15 @@
 		assert.Assert(t, m.Claims == nil)
 	}
 }
+
+// A peer that had a task dies, its workers are taken over, and no room is left to start
+// the task again. It may have run at the peer: "not run" would be untrue.
+func TestNotRunIsNotToldAfterASuccession(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	r.offers(peerB)
+	r.c.HolderLost(r.now, peerB)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2"})
+	assert.Equal(t, r.answered().Status, GivenUp)
+}
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -232,10 +232,13 @@
 		if w.silent == 1 {
 			e.event("worker_silent", w, nil, a.Verdict.String())
 		}
+		w.nextPoll = now + lookEvery
 		if w.phase == acquiring {
 			w.nextPoll = now + retryAcquire
-			return
 		}
+		// The next tick that is due polls again: a worker that refuses connections answers
+		// at once, and polling it without a pause would take all of the processor.
+		return
 	}
 	if !c.look && !w.polling && (w.phase == held || w.phase == claiming) {
 		e.poll(now, w)
--- a/executor/polls.go
+++ b/executor/polls.go
@@ -51,6 +51,9 @@
 	if len(w.runs) > 0 && w.clock.ms > 0 && now >= w.lapsedBy() && w.silent > 0 {
 		e.lapsed(now, w)
 	}
+	if !w.polling && now >= w.nextPoll {
+		e.poll(now, w)
+	}
 	if now >= w.nextLook && w.doubts() {
 		e.insist(now, w)
 		e.look(now, w)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,7 +210,9 @@
 		n.answered(a)
 	}
 	for _, call := range e.Calls {
-		n.wg.Go(func() { n.order(call) })
+		if n.ctx.Err() == nil { // at the end orders would fail at once, and ask for the next
+			n.wg.Go(func() { n.order(call) })
+		}
 	}
 	n.toCoordinators(now, e.Reports)
 	for _, t := range e.Takeovers {
