--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -107,7 +107,7 @@
 func (h *Holder) wait(t *task.Task) (d time.Duration, ok bool) {
 	copies := 0
 	for _, r := range h.Rooms {
-		if r.Open && r.Service == t.Service {
+		if r.Usable && r.Service == t.Service {
 			copies += t.Demand.Copies(r.Total, maxCopies)
 		}
 	}
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -49,6 +49,7 @@
 		if r.state == starting {
 			r.state = doubtful
 		}
+		w.suspect = true
 		e.look(now, w)
 	case Outdated:
 		// Another daemon has run this task here, and that run is over.
@@ -213,7 +214,7 @@
 	}
 	switch a.Verdict {
 	case OK:
-		w.silent = 0
+		w.silent, w.suspect = 0, false
 		e.listed(now, w, a)
 	case Replaced:
 		e.workerDied(now, w)
@@ -232,9 +233,11 @@
 		if w.silent == 1 {
 			e.event("worker_silent", w, nil, a.Verdict.String())
 		}
-		w.nextPoll = now + lookEvery
-		if w.phase == acquiring {
+		switch {
+		case w.phase == acquiring:
 			w.nextPoll = now + retryAcquire
+		case w.silent > 1:
+			w.nextPoll = now + lookEvery
 		}
 		// The next tick that is due polls again: a worker that refuses connections answers
 		// at once, and polling it without a pause would take all of the processor.
--- a/executor/config.go
+++ b/executor/config.go
@@ -30,6 +30,11 @@
 	busyWait = 250 * time.Millisecond
 	// idleWait is the same while nothing runs; the poll only tells that the worker is there.
 	idleWait = 600 * time.Millisecond
+	// closingSilence is how many polls in a row without an answer close a worker: a single
+	// one is lost now and then, and closing for it leaves room unused. From lapsingSilence
+	// on its lease is not extended any more.
+	closingSilence = 2
+	lapsingSilence = 3
 	// claimWait is how long coordinators have for claiming the runs of a worker that was
 	// taken over; what nobody claims is stopped.
 	claimWait = 300 * time.Millisecond
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -221,7 +221,7 @@
 // canServe reports whether a worker in use, or about to be, may run the task.
 func (e *Executor) canServe(t *task.Task) bool {
 	for _, w := range e.order {
-		if w.phase != released && w.phase != yielded && !w.info.Draining && w.silent < 2 && w.serves(t) {
+		if w.phase != released && w.phase != yielded && !w.info.Draining && w.silent < lapsingSilence && w.serves(t) {
 			return true
 		}
 	}
@@ -292,7 +292,7 @@
 	rooms := make([]Room, 0, len(e.order))
 	for _, w := range e.order {
 		if w.phase == held || w.phase == claiming {
-			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Free: w.free(), Total: w.info.Capacity, Open: w.open(now)})
+			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Free: w.free(), Total: w.info.Capacity, Open: w.open(now), Usable: w.usable()})
 		}
 	}
 	return rooms
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -161,6 +161,6 @@
 	Service string
 	Free    capacity.Vector
 	Total   capacity.Vector
-	// Open is false while the worker gets no new runs.
-	Open bool
+	// Open is false while the worker gets no new runs; Usable tells that it will soon.
+	Open, Usable bool
 }
--- a/executor/polls.go
+++ b/executor/polls.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// poll sends the standing poll of a worker. After two polls without an answer the lease
+// poll sends the standing poll of a worker. After some polls without an answer the lease
 // is no longer extended: if the worker runs on unseen, its runs end with the lease, and
 // only then are they safe to start elsewhere.
 func (e *Executor) poll(now time.Duration, w *worker) {
@@ -16,7 +16,7 @@
 		if w.overdue(now) {
 			c.Wait = overdueWait
 		}
-		if at, ok := w.now(now); ok && w.silent < 2 {
+		if at, ok := w.now(now); ok && w.silent < lapsingSilence {
 			c.Deadline = at + e.config.Lease.Milliseconds()
 		}
 	}
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -89,6 +89,8 @@
 	listedAt time.Duration
 	// silent counts polls in a row without an answer.
 	silent int
+	// suspect: a start got no answer and no list has been read since.
+	suspect bool
 	// pausedUntil closes the worker for new runs; pause is the length of the last pause.
 	pausedUntil, pause time.Duration
 	// failures counts failed runs in a row.
@@ -130,10 +132,15 @@
 // open reports whether new runs may start.
 func (w *worker) open(now time.Duration) bool {
 	_, known := w.now(now)
-	return w.phase == held && known && !w.info.Draining && w.silent == 0 && now >= w.pausedUntil &&
+	return w.phase == held && known && !w.info.Draining && w.silent < closingSilence && !w.suspect && now >= w.pausedUntil &&
 		(!w.probing || len(w.runs) == 0)
 }
 
+// usable reports whether the worker is expected to take new runs soon, if not now.
+func (w *worker) usable() bool {
+	return (w.phase == held || w.phase == claiming) && !w.info.Draining && w.silent < lapsingSilence && !w.probing
+}
+
 // serves reports whether the worker may run the task at all.
 func (w *worker) serves(t *task.Task) bool {
 	return w.info.Service == t.Service && w.hasLabel(t.Label) && t.Demand.Fits(w.info.Capacity)
--- a/internal/node/convert.go
+++ b/internal/node/convert.go
@@ -121,7 +121,7 @@
 	}
 	for _, r := range pulse.GetRooms() {
 		h.Rooms = append(h.Rooms, executor.Room{
-			Worker: r.GetWorker(), Service: r.GetService(), Open: r.GetOpen(),
+			Worker: r.GetWorker(), Service: r.GetService(), Open: r.GetOpen(), Usable: r.GetUsable(),
 			Free:  capacity.Vector{MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), GPUs: r.GetGpus()},
 			Total: capacity.Vector{MilliCPU: r.GetTotalMilliCpu(), MemoryMB: r.GetTotalMemoryMb(), GPUs: r.GetTotalGpus()},
 		})
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -55,7 +55,7 @@
 	}
 	for _, r := range n.executor.Rooms(now) {
 		p.Rooms = append(p.Rooms, &schema.Room{
-			Worker: r.Worker, Service: r.Service, Open: r.Open,
+			Worker: r.Worker, Service: r.Service, Open: r.Open, Usable: r.Usable,
 			MilliCpu: r.Free.MilliCPU, MemoryMb: r.Free.MemoryMB, Gpus: r.Free.GPUs,
 			TotalMilliCpu: r.Total.MilliCPU, TotalMemoryMb: r.Total.MemoryMB, TotalGpus: r.Total.GPUs,
 		})
