--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -139,6 +139,7 @@
 // offer places one task.
 func (c *Coordinator) offer(now time.Duration, j *job, t *jobTask) {
 	h := c.rooms.take(&t.Task)
+	hasRoom := h != nil
 	if h == nil {
 		if h, _ = c.rooms.queue(&t.Task); h != nil {
 			h.charge(&t.Task)
@@ -155,6 +156,9 @@
 	t.Run++
 	t.offers++
 	t.state, t.holder, t.worker = offered, h.Process, ""
+	c.out.Events = append(c.out.Events, executor.Event{
+		Name: "task_offered", ID: t.ID, Run: t.Run, Detail: fmt.Sprintf("to=%s room=%t", h.Process.Address, hasRoom), Age: now - h.Heard,
+	})
 	for i := len(c.out.Messages) - 1; i >= 0; i-- {
 		if m := &c.out.Messages[i]; m.To == h.Process {
 			if m.Offer == nil {
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -22,6 +22,8 @@
 	Backlog map[string]int64
 	// Leaving executors get nothing new.
 	Leaving bool
+	// Heard is when the executor told this.
+	Heard time.Duration
 }
 
 // rooms is the coordinator's idea of all executors.
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -128,6 +128,9 @@
 // end removes a run that is proved over and reports it.
 func (e *Executor) end(now time.Duration, w *worker, r *run, o task.Outcome, reason string) {
 	w.remove(r)
+	e.out.Events = append(e.out.Events, Event{
+		Name: EventEnded, ID: r.id, Run: r.num, Worker: w.info.ID, Detail: o.String() + " " + reason, Age: now - r.began,
+	})
 	if r.discard || r.task == nil {
 		return
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -213,6 +214,7 @@
 		default:
 			return false
 		}
+		e.out.Events = append(e.out.Events, Event{Name: EventGivenBack, ID: r.ID, Run: r.Run, Detail: r.Reason, Age: now - q.since})
 		e.report(q.owner, r)
 		return true
 	})
@@ -281,6 +283,10 @@
 		deadline: clockNow + e.config.Lease.Milliseconds(),
 	}
 	w.add(r)
+	e.out.Events = append(e.out.Events, Event{
+		Name: EventStarted, ID: r.id, Run: r.num, Worker: w.info.ID, Detail: fmt.Sprintf("token=%d free_milli_cpu=%d", w.token, w.free().MilliCPU),
+		Age: now - q.since,
+	})
 	e.call(now, w, Call{Kind: CallStart, Task: r.task, ID: r.id, Run: r.num, Deadline: r.deadline})
 	if !w.polling {
 		e.poll(now, w)
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -155,6 +155,14 @@
 	Age time.Duration
 }
 
+// Names of events; all are in docs/OPERATIONS.md.
+const (
+	EventStarted   = "run_started"
+	EventEnded     = "run_ended"
+	EventRequeued  = "task_requeued"
+	EventGivenBack = "task_given_back"
+)
+
 // Room is what a worker has left.
 type Room struct {
 	Worker  string
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/lavendercleat/lavendercleat/internal/logging"
 	"github.com/lavendercleat/lavendercleat/internal/node"
 	"github.com/lavendercleat/lavendercleat/platform"
 	"github.com/lavendercleat/lavendercleat/schema"
@@ -32,6 +33,8 @@
 	// frontHeaderTimeout and frontIdleTimeout bound what a caller's connection may hold.
 	frontHeaderTimeout = 3 * time.Second
 	frontIdleTimeout   = 60 * time.Second
+	// logCloseTimeout bounds the writing of the last lines.
+	logCloseTimeout = 100 * time.Millisecond
 	// closeTimeout bounds the wait for answers under way to be written at a stop.
 	closeTimeout = 300 * time.Millisecond
 	// nodeStopMargin is added to the daemon's own limits for a planned stop.
@@ -51,9 +54,11 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Memory) * heapShare))
 	}
-	s.err = s.out // the platform collects the standard output
+	queue := logging.NewQueue(s.out) // the platform collects the standard output
+	defer queue.Close(logCloseTimeout)
+	s = &streams{in: s.in, out: s.out, err: queue}
 	return runApp(newApp(s, l, c.StopDelay+c.StopTimeout+nodeStopMargin,
-		fx.Supply(settings, c.NodeSettings, hup),
+		fx.Supply(settings, c.NodeSettings, hup, queue),
 		fx.Provide(newNode, newNodeServers),
 		fx.Invoke(hookNode, reloadSettings),
 	))
@@ -102,12 +107,17 @@
 // settingsCheck is the time between two looks at the settings file.
 const settingsCheck = 2 * time.Second
 
-func newNode(s platform.Settings, c schema.NodeSettings, log *logrus.Logger) (*node.Node, error) {
-	return node.New(node.Config{
+func newNode(s platform.Settings, c schema.NodeSettings, log *logrus.Logger, q *logging.Queue) (*node.Node, error) {
+	n, err := node.New(node.Config{
 		Name: s.Name, Domain: s.Domain, Address: s.Control, Seeds: s.Seeds,
 		Lease: min(c.Lease, s.Lease), StopWithin: s.StopWithin, EntryTTL: max(c.EntryTtl, s.MinStoreLease),
 		StopDelay: c.StopDelay, StopTimeout: c.StopTimeout,
 	}, platform.Connect(s), log)
+	if err != nil {
+		return nil, err
+	}
+	n.Gauge("log_lines_left_out", func() float64 { return float64(q.Left()) })
+	return n, nil
 }
 
 // nodeServers are the HTTP servers of a daemon.
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,11 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+// Gauge publishes a value that is read when the metrics are.
+func (n *Node) Gauge(name string, read func() float64) {
+	n.metrics.set.GetOrCreateGauge("lavendercleat_"+name, read)
+}
+
 func (m *metricSet) count(name string, labels ...string) {
 	text := "lavendercleat_" + name + "_total{"
 	for i := 0; i+1 < len(labels); i += 2 {
@@ -44,6 +50,17 @@
 func (m *metricSet) ended(status, reason string) {
 	m.count("leased_jobs", "status", status, "reason", reason)
 }
+
+// answered takes the time from a job's coming to its answer, by route and status.
+func (m *metricSet) answered(route string, a coordinator.Answer) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("lavendercleat_answer_seconds{route=%q,status=%q}", route, a.Status)).Update(a.Waited.Seconds())
+}
+
+// began takes the time from an offer's coming to the start of its task.
+func (m *metricSet) began(waited time.Duration) {
+	m.set.GetOrCreateHistogram("lavendercleat_task_queue_seconds").Update(waited.Seconds())
+}
+
 func (m *metricSet) refused(reason string)   { m.count("leased_refusals", "reason", reason) }
 func (m *metricSet) storeFailed(call string) { m.count("store_failures", "call", call) }
 func (m *metricSet) peerLost(refused bool)   { m.count("peer_losses", "refused", fmt.Sprint(refused)) }
@@ -52,6 +69,12 @@
 func (n *Node) logEvents(events []executor.Event) {
 	for _, e := range events {
 		fields := logrus.Fields{"event": e.Name}
+		if e.Name == executor.EventStarted {
+			n.metrics.began(e.Age)
+		}
+		if e.Age > 0 {
+			fields["age_ms"] = e.Age.Milliseconds()
+		}
 		if e.ID.Job != "" {
 			fields["job"], fields["task"], fields["run"] = e.ID.Job, e.ID.String(), e.Run
 		}
@@ -70,10 +93,27 @@
 	if w.callerID != "" {
 		fields["request"] = w.callerID
 	}
+	n.metrics.answered(w.route, a)
 	if a.Status == coordinator.Completed {
-		n.log.WithFields(fields).Debug()
+		n.log.WithFields(fields).Info()
 		return
 	}
 	fields["reason"], fields["retry_after_ms"] = a.Reason, a.RetryAfter.Milliseconds()
-	n.log.WithFields(fields).Info()
+	n.log.WithFields(fields).Warn()
+}
+
+// logArrival ties the caller's identifiers of the job and of the request together.
+func (n *Node) logArrival(w *waiter, r Request) {
+	tasks := 0
+	for _, s := range r.Steps {
+		tasks += s.Count
+	}
+	var version uint64
+	if t := n.table.Load(); t != nil {
+		version = t.Version
+	}
+	n.log.WithFields(logrus.Fields{
+		"event": "job_arrived", "job": r.ID, "request": r.CallerID, "route": w.route, "tasks": tasks,
+		"patience_ms": r.Patience.Milliseconds(), "configuration": version,
+	}).Info()
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -88,7 +88,9 @@
 	if !n.fleet.isUp(p) {
 		return
 	}
-	n.coordinator.SetHolder(holderFromPulse(p.Process, near, pulse))
+	holder := holderFromPulse(p.Process, near, pulse)
+	holder.Heard = n.clock.now()
+	n.coordinator.SetHolder(holder)
 	if n.fleet.pulsed(p, pulse) {
 		n.reassign(n.clock.now())
 	}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -44,6 +44,7 @@
 		}
 		w = &waiter{id: r.ID, callerID: r.CallerID, route: r.Route.Name, done: make(chan struct{}), callers: 1}
 		n.waiters[r.ID] = w
+		n.logArrival(w, r)
 		n.coordinator.Submit(now, coordinator.Job{
 			ID: r.ID, Service: r.Route.Service, Payload: r.Payload, Steps: r.Steps, Attempts: r.Route.Attempts,
 			Priority: r.Route.Priority, Stretch: r.Route.Stretch, Target: r.Route.Target, Deadline: now + r.Patience,
