--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,6 +27,7 @@
 
 	Entry     entryCommand     `cmd:"" help:"Run the daemon of an entry VM."`
 	Node      nodeCommand      `cmd:"" help:"Run the daemon that serves jobs on the users' platform."`
+	Explain   explainCommand   `cmd:"" help:"Tell the story of one request from the daemons' logs."`
 	Dev       devCommand       `cmd:"" help:"Run an entry, a stand-in platform and stand-in backend servers in one process."`
 	Submit    submitCommand    `cmd:"" help:"Submit a job and print its answer."`
 	Plan      planCommand      `cmd:"" help:"Show what an intent would change; nothing changes."`
--- /dev/null
+++ b/test/leased/explain_test.go
@@ -0,0 +1,97 @@
+package leased
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/platform/platformtest"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+)
+
+// explain runs the command on the logs of all daemons.
+func (s *system) explain(id string) string {
+	s.t.Helper()
+	args := []string{"explain", id}
+	for _, d := range s.daemons {
+		p := filepath.Join(s.t.TempDir(), d.name+".log")
+		assert.NilError(s.t, os.WriteFile(p, []byte(d.Log()), 0o600))
+		args = append(args, p)
+	}
+	out, err := exec.Command(cluster.Binary(s.t), args...).CombinedOutput()
+	assert.NilError(s.t, err, "%s", out)
+	return string(out)
+}
+
+// A worker is lost with a task: the lines alone tell that it went silent, that its lease
+// lapsed and that the task was then started elsewhere.
+func TestExplainLostWorker(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 2, platformtest.Manners{Work: 700 * time.Millisecond})
+	done := make(chan int, 1)
+	go func() {
+		status, _ := s.post(context.Background(), s.daemons[0], prefix, "lostworker", 4, 6*time.Second)
+		done <- status
+	}()
+	time.Sleep(300 * time.Millisecond)
+	s.workers[0].SetManners(platformtest.Manners{Silent: true})
+	<-done
+	time.Sleep(200 * time.Millisecond)
+	story := s.explain("req-lostworker")
+	for _, event := range []string{"job_arrived", "task_offered", "run_started", "worker_silent", "lease_lapsed", "task_restarted", "job_answered"} {
+		assert.Assert(t, strings.Contains(story, event), "%s is missing in\n%s", event, story)
+	}
+}
+
+// A peer dies with a task of ours on its worker: the lines tell of the loss, the take-over
+// and the claim.
+func TestExplainLostPeer(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 4, platformtest.Manners{Work: 900 * time.Millisecond})
+	done := make(chan int, 1)
+	go func() {
+		status, _ := s.post(context.Background(), s.daemons[0], prefix, "lostpeer", 8, 6*time.Second)
+		done <- status
+	}()
+	time.Sleep(400 * time.Millisecond)
+	s.daemons[1].Kill()
+	assert.Equal(t, <-done, http.StatusOK)
+	time.Sleep(200 * time.Millisecond)
+	story := s.explain("lostpeer")
+	for _, event := range []string{"peer_lost", "worker_held", "task_claimed", "job_answered"} {
+		assert.Assert(t, strings.Contains(story, event), "%s is missing in\n%s", event, story)
+	}
+}
+
+// The store is away when a worker entry would be needed: the refusal's lines say so.
+func TestExplainWithoutStore(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1, 1, quick)
+	s.store.SetTrouble(platformtest.Busy)
+	time.Sleep(1200 * time.Millisecond)
+	s.workers[0].SetManners(platformtest.Manners{Silent: true})
+	time.Sleep(2500 * time.Millisecond)
+	status, _ := s.post(context.Background(), s.daemons[0], prefix, "nostore", 1, 6*time.Second)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	time.Sleep(200 * time.Millisecond)
+	story := s.explain("nostore")
+	for _, event := range []string{"store_failed", "job_answered", "status=refused", "reason=no_workers"} {
+		assert.Assert(t, strings.Contains(story, event), "%s is missing in\n%s", event, story)
+	}
+}
+
+// An identifier that no line names is a clear error, not an empty story.
+func TestExplainUnknown(t *testing.T) {
+	t.Parallel()
+	out, err := exec.Command(cluster.Binary(t), "explain", "nobody", os.DevNull).CombinedOutput()
+	assert.ErrorContains(t, err, "exit status 1")
+	assert.Assert(t, strings.Contains(string(out), `no line names "nobody"`), fmt.Sprintf("%s", out))
+}
