--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -74,9 +74,13 @@
 	links map[netip.AddrPort]*link
 }
 
-// New returns a mesh that listens on an address and links nobody yet.
-func New(self Peer, h Handler) (*Mesh, error) {
-	l, err := net.Listen("tcp4", self.Address.String())
+// New returns a mesh that links nobody yet. Peers reach it at self's address; it listens
+// on another one where that is given.
+func New(self Peer, listen netip.AddrPort, h Handler) (*Mesh, error) {
+	if !listen.IsValid() {
+		listen = self.Address
+	}
+	l, err := net.Listen("tcp4", listen.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for peers")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,8 @@
 	Domain string
 	// Address is where peers reach the daemon.
 	Address netip.AddrPort
+	// Listen is the address to listen on for peers when it differs from Address.
+	Listen netip.AddrPort
 	// Seeds are addresses of peers to try first.
 	Seeds []netip.AddrPort
 	// Lease and StopWithin are the workers' own bounds.
@@ -77,7 +79,7 @@
 	n.coordinator = coordinator.New(n.self.Process)
 	n.fleet = newFleetView()
 	var err error
-	if n.mesh, err = mesh.New(n.self, (*peerHandler)(n)); err != nil {
+	if n.mesh, err = mesh.New(n.self, c.Listen, (*peerHandler)(n)); err != nil {
 		return nil, err
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -189,6 +189,8 @@
 	StopDelay time.Duration `name:"stop-delay" env:"LAVENDERCLEAT_STOP_DELAY" help:"Time between the request to stop and the end of accepting, for the balancer." default:"2500ms"`
 	// Longest time a planned stop waits for jobs in flight after that.
 	StopTimeout time.Duration `name:"stop-timeout" env:"LAVENDERCLEAT_STOP_TIMEOUT" help:"Longest time a planned stop waits for jobs in flight after that." default:"2500ms"`
+	// Address (IP:port) to listen on for peers when it differs from the one peers use.
+	PeerListen netip.AddrPort `name:"peer-listen" env:"LAVENDERCLEAT_PEER_LISTEN" help:"Address (IP:port) to listen on for peers when it differs from the one peers use." optional:""`
 	// Garbage collector's target: growth of the heap in percent between two collections.
 	GcPercent int `name:"gc-percent" env:"LAVENDERCLEAT_GC_PERCENT" help:"Garbage collector's target: growth of the heap in percent between two collections." default:"60"`
 }
--- a/test/cluster/tcprelay.go
+++ b/test/cluster/tcprelay.go
@@ -42,6 +42,9 @@
 	return r
 }
 
+// RelayTo returns a relay to a target, until the test ends.
+func RelayTo(t testing.TB, target string) *TCPRelay { return newTCPRelay(t, target) }
+
 // Address returns the address in front of the relay.
 func (r *TCPRelay) Address() string { return r.address }
 
