--- a/executor/proof_test.go
+++ b/executor/proof_test.go
@@ -191,3 +191,29 @@
 	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK})
 	assert.Assert(t, r.e.Rooms(r.now)[0].Open)
 }
+
+// A start can't be sent: no connection. That says nothing of what runs there already;
+// the task waits for another worker, as it has not run.
+func TestUnsentStartEndsNothing(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("a", 0))
+	r.e.Offer(r.now, ownerB, []task.Task{testTask("b", 0)})
+	r.answer(r.take(CallStart, "w1"), Answer{Verdict: Unsent})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started ")
+	_, waiting := r.e.Load()
+	assert.Equal(t, waiting, 1)
+}
+
+// A drain comes while a worker is in use: what waits goes elsewhere, what runs goes on.
+func TestDrainWhileTasksWait(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1", "w2")
+	i := workerNamed("w1")
+	i.Draining = true
+	r.e.Update(i)
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0), testTask("j", 1), testTask("j", 2)})
+	assert.Equal(t, r.take(CallStart, "").Worker, "w2")
+	assert.Equal(t, r.take(CallStart, "").Worker, "w2")
+	assert.Assert(t, !r.has(CallStart))
+}
--- a/test/leased/faults_test.go
+++ b/test/leased/faults_test.go
@@ -246,3 +246,21 @@
 		}
 	}
 }
+
+// A caller hangs up: its tasks are stopped at the workers, where they would otherwise run
+// for nobody and beside its next try.
+func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
+	s := start(t, 2, 4, quick)
+	for _, w := range s.workers {
+		w.SetManners(platformtest.Manners{Work: 20 * time.Second})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	status, _ := s.post(ctx, s.daemons[0], prefix, "leaving", 4, time.Minute)
+	assert.Equal(t, status, 0)
+	for until := time.Now().Add(time.Second); s.witness.Running() > 0; {
+		assert.Assert(t, time.Now().Before(until), "tasks of a caller that left run on")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
