--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -19,8 +19,6 @@
 	maxOffers = 12
 	// maxPark bounds the wait of a job for any worker at all; a quarter of its time does too.
 	maxPark = 700 * time.Millisecond
-	// youngFor is the time after a daemon's start in which room grows fast.
-	youngFor = 2 * time.Second
 	// minRetryAfter is the least time after which a refused caller is told to come back.
 	minRetryAfter = 500 * time.Millisecond
 )
@@ -91,13 +89,12 @@
 	c.admit(now, n)
 }
 
-// admit releases a job or refuses it. Without any worker, or without room while this
-// daemon is young, it is parked for a moment: after a restart of the fleet workers are
-// taken over within some hundred ms, and a refused caller doesn't come back.
+// admit releases a job or refuses it. Without any worker it is parked for a moment: after
+// a restart of the fleet workers are taken over within some hundred ms, and a refused
+// caller doesn't come back.
 func (c *Coordinator) admit(now time.Duration, j *job) {
 	reason, after := c.refusal(now, j)
-	growing := reason == ReasonNoWorkers || reason == ReasonNoRoom && now < youngFor
-	j.parked = growing && now < j.parkedTo
+	j.parked = reason == ReasonNoWorkers && now < j.parkedTo
 	switch {
 	case j.parked:
 	case reason != "":
