--- a/executor/config.go
+++ b/executor/config.go
@@ -32,9 +32,9 @@
 	idleWait = 600 * time.Millisecond
 	// closingSilence is how many polls in a row without an answer close a worker: a single
 	// one is lost now and then, and closing for it leaves room unused. From lapsingSilence
-	// on its lease is not extended any more.
+	// on its lease is not extended any more, so that what it ran is safe to start again soon.
 	closingSilence = 2
-	lapsingSilence = 3
+	lapsingSilence = 2
 	// claimWait is how long coordinators have for claiming the runs of a worker that was
 	// taken over; what nobody claims is stopped.
 	claimWait = 300 * time.Millisecond
