--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,6 +15,9 @@
 	// lostWait is how long a task whose executor is gone may stay unresolved: by then a
 	// successor has taken its workers over, or none will in time for the caller.
 	lostWait = 600 * time.Millisecond
+	// successionMemory is how long a takeover counts as news of a loss that this daemon
+	// notices later: daemons notice the same silence within a heartbeat or two of each other.
+	successionMemory = 2 * time.Second
 	// maxOffers bounds the tries to place one task.
 	maxOffers = 12
 	// maxPark bounds the wait of a job for any worker at all; a quarter of its time does too.
@@ -58,6 +61,13 @@
 type succession struct {
 	by member.Process
 	at time.Duration
+	// running is what the worker listed then.
+	running map[task.ID]uint32
+}
+
+// recent reports whether the takeover may be news of a loss that is noticed now.
+func (s succession) recent(now time.Duration, lost member.Process) bool {
+	return s.at > 0 && now-s.at <= successionMemory && s.by != lost
 }
 
 // New returns a coordinator of the given process.
@@ -206,8 +216,8 @@
 // successor says when it is over. A successor that has lost the worker again itself is not
 // asked: it would say "moved" for ever.
 func (c *Coordinator) claimLate(now time.Duration, from member.Process, t *jobTask) {
-	s, ok := c.successors[t.worker]
-	if !ok || s.by == from || now-s.at > lostWait || c.rooms.get(s.by) == nil {
+	s := c.successors[t.worker]
+	if !s.recent(now, from) || c.rooms.get(s.by) == nil {
 		return
 	}
 	t.state, t.holder = offered, s.by
@@ -290,18 +300,36 @@
 		}
 	}
 	c.rooms.remove(p)
-	affected := false
+	for w, s := range c.successors {
+		switch {
+		case s.by == p:
+			workers[w] = true // taken since its last heartbeat, perhaps
+		case s.recent(now, p):
+			delete(workers, w)
+		}
+	}
+	c.takenOver[p] = workers
 	for _, j := range c.sorted() {
 		for _, t := range j.tasks {
 			if t.state == offered && t.holder == p {
 				c.lose(now, t)
-				affected = true
+				c.findSuccessor(now, p, t)
 			}
 		}
 	}
-	if affected {
-		c.takenOver[p] = workers
+	c.resolve(now, p)
+}
+
+// findSuccessor claims a lost task from a daemon that has noticed the loss sooner.
+func (c *Coordinator) findSuccessor(now time.Duration, lostHolder member.Process, t *jobTask) {
+	if t.worker == "" {
+		for w, s := range c.successors {
+			if run, ok := s.running[t.ID]; ok && run == t.Run && s.recent(now, lostHolder) {
+				t.worker = w
+			}
+		}
 	}
+	c.claimLate(now, lostHolder, t)
 }
 
 // TakenOver answers a successor's question about a worker.
@@ -311,7 +339,7 @@
 		running[r.ID] = r.Run
 	}
 	claims := executor.Claims{Owner: c.self, Worker: t.Worker}
-	c.successors[t.Worker] = succession{from, now}
+	c.successors[t.Worker] = succession{from, now, running}
 	for _, r := range t.Running {
 		if jt := c.lookup(r.ID); jt != nil && jt.Run <= r.Run && (jt.state == lost || jt.state == offered && jt.worker == t.Worker) {
 			jt.Run, jt.state, jt.holder, jt.worker = r.Run, offered, from, t.Worker
@@ -371,15 +399,21 @@
 func (c *Coordinator) resolveHolders(now time.Duration, workerID string) {
 	for p, workers := range c.takenOver {
 		delete(workers, workerID)
-		if len(workers) > 0 {
-			continue
-		}
-		delete(c.takenOver, p)
-		for _, j := range c.sorted() {
-			for _, t := range j.tasks {
-				if !j.ended && t.state == lost && t.holder == p && t.worker == "" {
-					c.restart(now, j, t, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Gone, Reason: "holder_succeeded"})
-				}
+		c.resolve(now, p)
+	}
+}
+
+// resolve restarts what waited at one lost executor, once it is known of all its workers
+// that none listed it.
+func (c *Coordinator) resolve(now time.Duration, p member.Process) {
+	if workers, ok := c.takenOver[p]; !ok || len(workers) > 0 {
+		return
+	}
+	delete(c.takenOver, p)
+	for _, j := range c.sorted() {
+		for _, t := range j.tasks {
+			if !j.ended && t.state == lost && t.holder == p && t.worker == "" {
+				c.restart(now, j, t, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Gone, Reason: "holder_succeeded"})
 			}
 		}
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -380,3 +380,51 @@
 	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2"})
 	assert.Equal(t, r.answered().Status, GivenUp)
 }
+
+// Another daemon notices the loss of a holder sooner than this one: its questions about the
+// workers come before our own notice. They count all the same; waiting for them to come
+// again would fail the callers though all is known.
+func TestTakeoverBeforeTheLossIsNoticed(t *testing.T) {
+	r := newRig(t)
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: []executor.Room{roomFor("w2", 1), roomFor("w3", 1)}})
+	r.holder(peerC, 1, "w4", 2)
+	r.c.Submit(r.now, testJob("j", 2))
+	tasks := r.offers(peerB)
+	assert.Equal(t, len(tasks), 2)
+	// The first runs on w2, though we were not told; of the second nobody knows.
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Running: []task.RunningTask{{ID: tasks[0].ID, Run: tasks[0].Run}}})
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w3"})
+	r.drain()
+	r.messages = nil
+	r.now += 100 * time.Millisecond
+	r.c.HolderLost(r.now, peerB)
+	r.drain()
+	claimed := 0
+	for _, m := range r.messages {
+		if m.Claims != nil {
+			claimed += len(m.Claims.Tasks)
+			assert.Equal(t, m.Claims.Tasks[0].ID, tasks[0].ID)
+		}
+	}
+	assert.Equal(t, claimed, 1, "what a successor listed is claimed: it may still run")
+	again := r.offers(peerC)
+	assert.Equal(t, len(again), 1, "what none listed is started again")
+	assert.Equal(t, again[0].ID, tasks[1].ID)
+}
+
+// A holder took one more worker after its last heartbeat and is lost then. A task of
+// unknown whereabouts may run on that worker too.
+func TestWorkerTakenAfterTheLastHeartbeat(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.holder(self, 0, "w1", 0)
+	r.c.Submit(r.now, testJob("j", 1))
+	assert.Equal(t, len(r.offers(peerB)), 1)
+	r.c.TakenOver(r.now, peerB, executor.Takeover{Worker: "w9"})
+	r.c.HolderLost(r.now, peerB)
+	r.holder(self, 0, "w1", 1)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2"})
+	assert.Equal(t, len(r.offers(self)), 0)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w9"})
+	assert.Equal(t, len(r.offers(self)), 1)
+}
