--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,171 @@
+package mesh_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/internal/mesh"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+)
+
+// end is one daemon's end of the links, with what it was told.
+type end struct {
+	*mesh.Mesh
+	self mesh.Peer
+
+	mu     sync.Mutex
+	events []string
+	got    []uint64
+	peer   mesh.Peer
+}
+
+func (e *end) note(s string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.events = append(e.events, s)
+}
+
+func (e *end) PeerUp(p mesh.Peer) {
+	e.note("up")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peer = p
+}
+func (e *end) PeerLost(_ mesh.Peer, gone bool) { e.note(fmt.Sprintf("lost gone=%t", gone)) }
+func (e *end) Pulsed(mesh.Peer, *schema.Pulse) {}
+func (e *end) Pulse() *schema.Pulse            { return &schema.Pulse{} }
+func (e *end) Received(_ mesh.Peer, f *schema.Frame) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.got = append(e.got, f.GetDocument().GetVersion())
+}
+
+func (e *end) count(event string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, s := range e.events {
+		if s == event {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *end) received() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]uint64(nil), e.got...)
+}
+
+func (e *end) sendTo(p mesh.Peer, n uint64) {
+	e.Send(p.Process, &schema.Frame{Body: &schema.Frame_Document{Document: &schema.Document{Version: n}}})
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// newEnd starts an end that peers reach through a relay.
+func newEnd(t *testing.T, incarnation uint64) (*end, *cluster.TCPRelay) {
+	listen := freeAddress(t)
+	relay := cluster.RelayTo(t, listen.String())
+	e := &end{self: mesh.Peer{Process: member.Process{Address: netip.MustParseAddrPort(relay.Address()), Incarnation: incarnation}}}
+	var err error
+	e.Mesh, err = mesh.New(e.self, listen, e)
+	assert.NilError(t, err)
+	e.Start()
+	t.Cleanup(e.Close)
+	return e, relay
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("never: ", what)
+		}
+	}
+}
+
+func linked(t *testing.T) (a, b *end, toA, toB *cluster.TCPRelay) {
+	t.Helper()
+	a, toA = newEnd(t, 1)
+	b, toB = newEnd(t, 2)
+	a.Know(b.self.Address) // b learns of a by its greeting
+	eventually(t, "linked", func() bool { return a.count("up") > 0 && b.count("up") > 0 })
+	return a, b, toA, toB
+}
+
+// Connections break and go silent under a stream of messages. Each message comes once
+// and in order: a task offered twice would run twice, and a withdrawal that is lost
+// would leave one running.
+func TestOnceAndInOrderAcrossConnections(t *testing.T) {
+	a, b, toA, toB := linked(t)
+	const messages = 3000
+	for n := uint64(1); n <= messages; n++ {
+		a.sendTo(b.self, n)
+		switch {
+		case n%1000 == 500:
+			toB.BreakExisting()
+			toA.BreakExisting()
+		case n == 1700:
+			toB.MuteExisting()
+		}
+		if n%50 == 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	eventually(t, "all received", func() bool { return len(b.received()) >= messages })
+	for i, n := range b.received() {
+		assert.Equal(t, n, uint64(i+1))
+	}
+	assert.Equal(t, a.count("lost gone=false")+a.count("lost gone=true"), 0, "a connection's end is not the peer's")
+}
+
+// A peer is cut off for longer than LostAfter: both ends count the other as lost, and what
+// was sent before is not delivered afterwards, as its state was dropped.
+func TestLossBeginsANewSession(t *testing.T) {
+	a, b, toA, toB := linked(t)
+	toA.Block()
+	toB.Block()
+	toA.MuteExisting()
+	toB.MuteExisting()
+	a.sendTo(b.self, 1)
+	eventually(t, "lost at both ends", func() bool { return a.count("lost gone=false") == 1 && b.count("lost gone=false") == 1 })
+	toA.Heal()
+	toB.Heal()
+	eventually(t, "linked again", func() bool { return a.count("up") == 2 && b.count("up") == 2 })
+	a.sendTo(b.self, 2)
+	eventually(t, "received", func() bool { return len(b.received()) > 0 })
+	assert.DeepEqual(t, b.received(), []uint64{2})
+}
+
+// A process is killed: its address refuses connections, and its peers know at once rather
+// than after LostAfter.
+func TestKilledProcessIsLostAtOnce(t *testing.T) {
+	a, _ := newEnd(t, 1)
+	listen := freeAddress(t)
+	b := &end{self: mesh.Peer{Process: member.Process{Address: listen, Incarnation: 2}}}
+	var err error
+	b.Mesh, err = mesh.New(b.self, netip.AddrPort{}, b)
+	assert.NilError(t, err)
+	b.Start()
+	a.Know(listen)
+	eventually(t, "linked", func() bool { return a.count("up") == 1 })
+	began := time.Now()
+	b.Close()
+	eventually(t, "lost", func() bool { return a.count("lost gone=true") == 1 })
+	assert.Assert(t, time.Since(began) < mesh.LostAfter)
+}
