--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -29,8 +29,10 @@
 	peer Peer
 	// up: messages pass both ways.
 	up bool
-	// session counts our state with the peer; peerSession is the peer's count.
-	session, peerSession uint64
+	// session numbers the state that both ends keep with each other. An end that drops its
+	// state raises it, and the other end drops its own and takes the number over: were each
+	// to count for itself, one loss could have both drop their state by turns for ever.
+	session uint64
 	// connected is the incarnation that our connection reached, 0 without one.
 	connected uint64
 	conn      net.Conn
@@ -104,6 +106,9 @@
 func (l *link) run() {
 	for l.mesh.ctx.Err() == nil {
 		err := l.connect()
+		if errors.Is(err, errBehind) {
+			continue
+		}
 		l.mu.Lock()
 		l.failed = l.failed || err != nil
 		l.mu.Unlock()
@@ -128,6 +133,9 @@
 	return !l.up && time.Since(l.lastNamed) > forgetAfter
 }
 
+// errBehind: the greeting carried a session that has ended; the next one follows at once.
+var errBehind = errors.New("the session has ended")
+
 // connect dials, greets and writes until the connection is given up.
 func (l *link) connect() error {
 	c, err := l.mesh.dialer.DialContext(l.mesh.ctx, "tcp4", l.address.String())
@@ -152,7 +160,7 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	if !l.reached(answer, hello.GetSession(), c) {
-		return nil
+		return errBehind
 	}
 	broken := make(chan struct{})
 	l.mesh.wg.Go(func() {
@@ -179,10 +187,12 @@
 	if l.session != session {
 		return false
 	}
-	if known := l.peer.Incarnation; known != 0 && known != answer.GetIncarnation() {
-		lost := l.reset()
+	known := l.peer.Incarnation
+	replaced := known != 0 && known != answer.GetIncarnation()
+	if replaced || answer.GetSession() > session {
+		lost := l.reset(answer.GetSession())
 		l.mu.Unlock()
-		l.tellLost(lost, true)
+		l.tellLost(lost, replaced)
 		l.mu.Lock()
 		return false // the greeting carried the old session
 	}
@@ -296,21 +306,22 @@
 	l.order.Lock()
 	defer l.order.Unlock()
 	l.mu.Lock()
-	lost := l.reset()
+	var lost *Peer
+	if l.peer.Incarnation != 0 {
+		lost = l.reset(0)
+	}
 	l.mu.Unlock()
 	l.tellLost(lost, gone)
 }
 
-// reset drops all state with the peer and returns the peer that was up.
-func (l *link) reset() *Peer {
-	if l.peer.Incarnation == 0 && !l.up {
-		return nil
-	}
+// reset drops all state with the peer for a new session, of at least the given number,
+// and returns the peer that was up.
+func (l *link) reset(session uint64) *Peer {
 	p, was := l.peer, l.up
 	l.peer.Incarnation, l.up = 0, false
-	l.session++
+	l.session = max(l.session+1, session)
 	l.outbox, l.sent, l.next, l.arrived = nil, 0, 0, 0
-	l.echo, l.peerSession, l.lost = 0, 0, l.mesh.clock()
+	l.echo, l.lost = 0, l.mesh.clock()
 	if l.conn != nil {
 		l.conn.Close()
 	}
@@ -326,8 +337,10 @@
 	}
 }
 
-// greeted takes the greeting of a connection that the peer dialed and returns its session.
-func (l *link) greeted(h *schema.Identity) (uint64, bool) {
+// greeted takes the greeting of a connection that the peer dialed. It returns the session
+// in force; ok is false when the greeting is of an earlier one, which the peer has left or
+// has to leave, or which was held up on the way.
+func (l *link) greeted(h *schema.Identity) (session uint64, ok bool) {
 	if l.mesh == nil {
 		return 0, false
 	}
@@ -335,20 +348,21 @@
 	defer l.order.Unlock()
 	l.mu.Lock()
 	l.lastNamed = time.Now()
-	changed := l.peer.Incarnation != 0 && l.peer.Incarnation != h.GetIncarnation()
-	newSession := l.peerSession != 0 && l.peerSession != h.GetSession()
 	var lost *Peer
-	if changed || newSession {
-		lost = l.reset()
-	}
-	l.peer = Peer{
-		Process: member.Process{Address: l.address, Incarnation: h.GetIncarnation()},
-		Name:    h.GetName(), Domain: h.GetDomain(),
+	replaced := l.peer.Incarnation != 0 && l.peer.Incarnation != h.GetIncarnation()
+	if replaced || h.GetSession() > l.session {
+		lost = l.reset(h.GetSession())
+	}
+	session = l.session
+	if ok = h.GetSession() == session; ok {
+		l.peer = Peer{
+			Process: member.Process{Address: l.address, Incarnation: h.GetIncarnation()},
+			Name:    h.GetName(), Domain: h.GetDomain(),
+		}
 	}
-	l.peerSession = h.GetSession()
 	l.mu.Unlock()
-	l.tellLost(lost, changed)
-	return h.GetSession(), true
+	l.tellLost(lost, replaced)
+	return session, ok
 }
 
 // incomingBroke looks at once whether the peer is still there.
@@ -365,7 +379,7 @@
 	l.order.Lock()
 	defer l.order.Unlock()
 	l.mu.Lock()
-	if session != l.peerSession {
+	if session != l.session {
 		l.mu.Unlock()
 		return false
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -32,8 +32,6 @@
 	dialTimeout = 400 * time.Millisecond
 	// maxFrame bounds one frame in bytes.
 	maxFrame = 8 << 20
-	// maxOutbox bounds the frames that wait for a peer; beyond it the peer is lost.
-	maxOutbox = 20000
 )
 
 // Peer is another daemon's process.
@@ -204,12 +202,12 @@
 	if err != nil || a == m.address {
 		return
 	}
-	if _, err := protodelim.MarshalTo(c, &schema.Frame{Body: &schema.Frame_Hello{Hello: m.self}}); err != nil {
-		return
-	}
 	l := m.link(a)
 	session, ok := l.greeted(hello)
-	if !ok {
+	answer := &schema.Identity{
+		Address: m.self.Address, Incarnation: m.self.Incarnation, Name: m.self.Name, Domain: m.self.Domain, Session: session,
+	}
+	if _, err := protodelim.MarshalTo(c, &schema.Frame{Body: &schema.Frame_Hello{Hello: answer}}); err != nil || !ok {
 		return
 	}
 	for {
