--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -57,19 +57,6 @@
 	successors map[string]succession
 }
 
-// succession is the takeover of a worker.
-type succession struct {
-	by member.Process
-	at time.Duration
-	// running is what the worker listed then.
-	running map[task.ID]uint32
-}
-
-// recent reports whether the takeover may be news of a loss that is noticed now.
-func (s succession) recent(now time.Duration, lost member.Process) bool {
-	return s.at > 0 && now-s.at <= successionMemory && s.by != lost
-}
-
 // New returns a coordinator of the given process.
 func New(self member.Process) *Coordinator {
 	return &Coordinator{self: self, jobs: make(map[string]*job), takenOver: make(map[member.Process]map[string]bool), successors: make(map[string]succession)}
@@ -211,22 +198,6 @@
 	}
 }
 
-// claimLate claims a task from a successor whose question came before the news that the
-// task had run there. The run may have been stopped as unclaimed meanwhile; then the
-// successor says when it is over. A successor that has lost the worker again itself is not
-// asked: it would say "moved" for ever.
-func (c *Coordinator) claimLate(now time.Duration, from member.Process, t *jobTask) {
-	s := c.successors[t.worker]
-	if !s.recent(now, from) || c.rooms.get(s.by) == nil {
-		return
-	}
-	t.state, t.holder = offered, s.by
-	c.event("task_claimed", t, "late")
-	c.out.Messages = append(c.out.Messages, Message{To: s.by, Claims: &executor.Claims{
-		Owner: c.self, Worker: t.worker, Tasks: []task.Task{t.Task},
-	}})
-}
-
 func (c *Coordinator) taskDone(now time.Duration, j *job, t *jobTask) {
 	j.mayHaveRun = true
 	t.state = done
@@ -290,135 +261,6 @@
 	t.lostBy = now + lostWait
 }
 
-// HolderLost tells that an executor is gone or can't be reached. What it ran is claimed
-// from its successors.
-func (c *Coordinator) HolderLost(now time.Duration, p member.Process) {
-	workers := make(map[string]bool)
-	if h := c.rooms.get(p); h != nil {
-		for _, r := range h.Rooms {
-			workers[r.Worker] = true
-		}
-	}
-	c.rooms.remove(p)
-	for w, s := range c.successors {
-		switch {
-		case s.by == p:
-			workers[w] = true // taken since its last heartbeat, perhaps
-		case s.recent(now, p):
-			delete(workers, w)
-		}
-	}
-	c.takenOver[p] = workers
-	for _, j := range c.sorted() {
-		for _, t := range j.tasks {
-			if t.state == offered && t.holder == p {
-				c.lose(now, t)
-				c.findSuccessor(now, p, t)
-			}
-		}
-	}
-	c.resolve(now, p)
-}
-
-// findSuccessor claims a lost task from a daemon that has noticed the loss sooner.
-func (c *Coordinator) findSuccessor(now time.Duration, lostHolder member.Process, t *jobTask) {
-	if t.worker == "" {
-		for w, s := range c.successors {
-			if run, ok := s.running[t.ID]; ok && run == t.Run && s.recent(now, lostHolder) {
-				t.worker = w
-			}
-		}
-	}
-	c.claimLate(now, lostHolder, t)
-}
-
-// TakenOver answers a successor's question about a worker.
-func (c *Coordinator) TakenOver(now time.Duration, from member.Process, t executor.Takeover) {
-	running := make(map[task.ID]uint32)
-	for _, r := range t.Running {
-		running[r.ID] = r.Run
-	}
-	claims := executor.Claims{Owner: c.self, Worker: t.Worker}
-	c.successors[t.Worker] = succession{from, now, running}
-	for _, r := range t.Running {
-		if jt := c.lookup(r.ID); jt != nil && jt.Run <= r.Run && (jt.state == lost || jt.state == offered && jt.worker == t.Worker) {
-			jt.Run, jt.state, jt.holder, jt.worker = r.Run, offered, from, t.Worker
-			c.jobs[r.ID.Job].mayHaveRun = true
-			claims.Tasks = append(claims.Tasks, jt.Task)
-			c.event("task_claimed", jt, "running")
-		}
-	}
-	for _, r := range t.Ended {
-		c.endedBefore(now, t.Worker, r)
-	}
-	for _, j := range c.sorted() {
-		c.missing(now, j, t.Worker, running)
-	}
-	c.resolveHolders(now, t.Worker)
-	c.out.Messages = append(c.out.Messages, Message{To: from, Claims: &claims})
-}
-
-// endedBefore takes an end that the worker listed for an earlier holder.
-func (c *Coordinator) endedBefore(now time.Duration, workerID string, r task.RunningTask) {
-	t := c.lookup(r.ID)
-	if t == nil || t.Run != r.Run || t.state != lost && (t.state != offered || t.worker != workerID) {
-		return
-	}
-	// An end of a run that isn't known to have been there may be that of an earlier try of
-	// the caller, under the same number: it proves the work done, but not this run over.
-	if t.worker != workerID && !r.Done {
-		return
-	}
-	j := c.jobs[r.ID.Job]
-	report := task.Report{ID: r.ID, Run: r.Run, Worker: workerID, Outcome: task.Gone, Reason: "ended_before_takeover"}
-	switch {
-	case r.Done:
-		c.taskDone(now, j, t)
-	case r.Failed:
-		c.taskFailed(now, j, t, report)
-	default:
-		c.restart(now, j, t, report)
-	}
-}
-
-// missing restarts tasks that ran on the worker and are not on its list any more.
-func (c *Coordinator) missing(now time.Duration, j *job, workerID string, running map[task.ID]uint32) {
-	for _, t := range j.tasks {
-		if j.ended {
-			return
-		}
-		if _, ok := running[t.ID]; ok || t.worker != workerID || t.state != lost {
-			continue
-		}
-		c.restart(now, j, t, task.Report{ID: t.ID, Run: t.Run, Worker: workerID, Outcome: task.Gone, Reason: "not_listed_at_takeover"})
-	}
-}
-
-// resolveHolders restarts what waited at a lost executor once all its workers were taken
-// over and none of them listed it.
-func (c *Coordinator) resolveHolders(now time.Duration, workerID string) {
-	for p, workers := range c.takenOver {
-		delete(workers, workerID)
-		c.resolve(now, p)
-	}
-}
-
-// resolve restarts what waited at one lost executor, once it is known of all its workers
-// that none listed it.
-func (c *Coordinator) resolve(now time.Duration, p member.Process) {
-	if workers, ok := c.takenOver[p]; !ok || len(workers) > 0 {
-		return
-	}
-	delete(c.takenOver, p)
-	for _, j := range c.sorted() {
-		for _, t := range j.tasks {
-			if !j.ended && t.state == lost && t.holder == p && t.worker == "" {
-				c.restart(now, j, t, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Gone, Reason: "holder_succeeded"})
-			}
-		}
-	}
-}
-
 func (c *Coordinator) lookup(id task.ID) *jobTask {
 	if j := c.jobs[id.Job]; j != nil {
 		return j.find(id)
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/lavendercleat/lavendercleat/member"
 	"github.com/lavendercleat/lavendercleat/task"
 )
 
@@ -178,34 +177,6 @@
 	w.nextPoll = now + retryAcquire
 }
 
-// taken acts on a higher token: another executor holds the worker. What runs there goes
-// on; the new holder asks the coordinators for it.
-func (e *Executor) taken(now time.Duration, w *worker) {
-	if w.phase == yielded || w.phase == released {
-		return
-	}
-	e.event("worker_taken", w, nil, fmt.Sprintf("runs=%d", len(w.runs)))
-	for _, r := range w.sorted() {
-		if r.state == starting {
-			continue // its answer tells whether the order was obeyed
-		}
-		w.remove(r)
-		e.moved(w, r)
-	}
-	w.phase = yielded
-	w.nextPoll = now + yieldTime
-	if !w.wanted {
-		w.phase = released
-	}
-}
-
-// moved tells a run's coordinator that another executor looks after the worker.
-func (e *Executor) moved(w *worker, r *run) {
-	if !r.discard && r.task != nil {
-		e.report(r.owner, task.Report{ID: r.id, Run: r.num, Outcome: task.Moved, Worker: w.info.ID, Reason: "worker_taken"})
-	}
-}
-
 func (e *Executor) pollAnswered(now time.Duration, w *worker, c Call, a Answer) {
 	if c.look {
 		w.looking = false
@@ -313,92 +284,3 @@
 		r.state = state
 	}
 }
-
-// acquired takes a worker over: its runs are asked for among the coordinators.
-func (e *Executor) acquired(now time.Duration, w *worker, a Answer) {
-	w.phase = claiming
-	w.claimBy = now + claimWait
-	w.waiting = nil
-	t := Takeover{Worker: w.info.ID}
-	for _, l := range a.Running {
-		r := &run{id: l.ID, num: l.Run, state: running, began: now, changed: now, since: a.Clock}
-		w.add(r)
-		t.Running = append(t.Running, l.RunningTask)
-	}
-	for _, f := range a.Ended {
-		w.cursor = max(w.cursor, f.Number)
-		t.Ended = append(t.Ended, f.RunningTask)
-	}
-	// Our leases may not shorten what an earlier holder granted.
-	w.granted = max(w.granted, a.Clock+e.config.Lease.Milliseconds())
-	e.event("worker_held", w, nil, fmt.Sprintf("token=%d running=%d ended=%d", w.token, len(t.Running), len(t.Ended)))
-	e.out.Takeovers = append(e.out.Takeovers, t)
-}
-
-// Asked tells which coordinators a takeover was sent to; the worker opens when all have
-// answered, or after claimWait.
-func (e *Executor) Asked(now time.Duration, workerID string, coordinators []member.Process) {
-	w := e.workers[workerID]
-	if w == nil || w.phase != claiming {
-		return
-	}
-	w.waiting = make(map[member.Process]bool, len(coordinators))
-	for _, c := range coordinators {
-		w.waiting[c] = true
-	}
-	e.settleClaims(now, w)
-	e.step(now)
-}
-
-// Claimed takes a coordinator's claims: what runs goes on for it, what doesn't is
-// reported as gone.
-func (e *Executor) Claimed(now time.Duration, c Claims) {
-	w := e.workers[c.Worker]
-	if w == nil || w.phase != claiming && w.phase != held {
-		for _, t := range c.Tasks {
-			e.report(c.Owner, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Moved, Worker: c.Worker, Reason: "not_held"})
-		}
-		return
-	}
-	for i := range c.Tasks {
-		e.claim(now, w, c.Owner, &c.Tasks[i])
-	}
-	delete(w.waiting, c.Owner)
-	e.settleClaims(now, w)
-	e.step(now)
-}
-
-func (e *Executor) claim(now time.Duration, w *worker, owner member.Process, t *task.Task) {
-	r := w.runs[t.ID]
-	if r == nil || r.num != t.Run {
-		e.report(owner, task.Report{ID: t.ID, Run: t.Run, Outcome: task.Gone, Worker: w.info.ID, Reason: "not_listed"})
-		return
-	}
-	if r.task != nil {
-		return
-	}
-	w.remove(r)
-	r.task, r.owner = t, owner
-	w.add(r)
-	if r.state == stopping {
-		r.discard = false // too late to go on, but its end is worth knowing
-		return
-	}
-	e.report(owner, task.Report{ID: r.id, Run: r.num, Outcome: task.Started, Worker: w.info.ID, Reason: "claimed"})
-}
-
-// settleClaims opens a worker once all its runs are claimed or stopped.
-func (e *Executor) settleClaims(now time.Duration, w *worker) {
-	if w.phase != claiming || w.waiting == nil || len(w.waiting) > 0 && now < w.claimBy {
-		return
-	}
-	for _, r := range w.sorted() {
-		if r.task == nil && r.state != stopping {
-			e.event("run_unclaimed", w, r, "stopped")
-			e.discard(now, w, r)
-		}
-	}
-	if !w.unclaimed() {
-		w.phase = held
-	}
-}
