--- a/coordinator/succession.go
+++ b/coordinator/succession.go
@@ -55,16 +55,30 @@
 			delete(workers, w)
 		}
 	}
-	c.takenOver[p] = workers
+	affected := false
 	for _, j := range c.sorted() {
 		for _, t := range j.tasks {
 			if t.state == offered && t.holder == p {
+				affected = true
 				c.lose(now, t)
 				c.findSuccessor(now, p, t)
 			}
 		}
 	}
-	c.resolve(now, p)
+	if affected {
+		c.takenOver[p] = workers
+		c.resolve(now, p)
+	}
+}
+
+// forgetOld drops takeovers that are of no use any more: since then heartbeats have told
+// who holds what.
+func (c *Coordinator) forgetOld(now time.Duration) {
+	for w, s := range c.successors {
+		if now-s.at > 5*successionMemory {
+			delete(c.successors, w)
+		}
+	}
 }
 
 // findSuccessor claims a lost task from a daemon that has noticed the loss sooner.
@@ -86,6 +100,7 @@
 		running[r.ID] = r.Run
 	}
 	claims := executor.Claims{Owner: c.self, Worker: t.Worker}
+	c.forgetOld(now)
 	c.successors[t.Worker] = succession{from, now, running}
 	for _, r := range t.Running {
 		if jt := c.lookup(r.ID); jt != nil && jt.Run <= r.Run && (jt.state == lost || jt.state == offered && jt.worker == t.Worker) {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -24,13 +24,11 @@
 	order   []*worker // by ID, for repeatable decisions
 	queue   []*queued
 	out     Output
-	// lost are coordinators that are gone: their runs are stopped.
-	lost map[member.Process]bool
 }
 
 // New returns an executor that holds nothing.
 func New(c Config) *Executor {
-	return &Executor{config: c.withDefaults(), workers: make(map[string]*worker), lost: make(map[member.Process]bool)}
+	return &Executor{config: c.withDefaults(), workers: make(map[string]*worker)}
 }
 
 // Drain returns what the embedder has to carry out since the last call.
@@ -99,13 +97,13 @@
 
 func (e *Executor) drop(w *worker) {
 	delete(e.workers, w.info.ID)
+	e.out.Dropped = append(e.out.Dropped, w.info.ID)
 	e.order = slices.DeleteFunc(e.order, func(o *worker) bool { return o == w })
 }
 
 // Offer takes tasks of a coordinator. Each ends in a report of NotRun, Done, Failed,
 // Gone or Moved, unless it is withdrawn.
 func (e *Executor) Offer(now time.Duration, owner member.Process, tasks []task.Task) {
-	delete(e.lost, owner)
 	for i := range tasks {
 		q := &queued{task: &tasks[i], owner: owner, since: now}
 		at, _ := slices.BinarySearchFunc(e.queue, q, before)
@@ -147,7 +145,6 @@
 // OwnerLost stops all that runs for a coordinator that is gone: its callers are told
 // nothing any more and will submit again, and the same task must not run twice then.
 func (e *Executor) OwnerLost(now time.Duration, owner member.Process) {
-	e.lost[owner] = true
 	e.queue = slices.DeleteFunc(e.queue, func(q *queued) bool { return q.owner == owner })
 	for _, w := range e.order {
 		for _, r := range w.runs {
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -142,6 +142,8 @@
 	Reports   []Owned
 	Takeovers []Takeover
 	Events    []Event
+	// Dropped are workers that have left; nothing is ordered of them any more.
+	Dropped []string
 }
 
 // Event is a decision or a changed belief, for the log.
--- a/executor/place_test.go
+++ b/executor/place_test.go
@@ -106,3 +106,17 @@
 	again := r.take(CallStart, "w1")
 	assert.Equal(t, again.Deadline, c.Deadline+5000+testLease.Milliseconds())
 }
+
+// A worker leaves for good: what was kept for it is given up, once nothing runs there.
+func TestWorkerThatLeftIsDropped(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	c := r.started(ownerA, testTask("j", 0))
+	gone := func(string) bool { return true }
+	r.e.Remove(r.now, gone)
+	assert.Equal(t, len(r.e.Drain().Dropped), 0, "its entry may have lapsed while it runs on")
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, c.ID, 1, "done")}})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started done ")
+	r.e.Remove(r.now, gone)
+	assert.DeepEqual(t, r.e.Drain().Dropped, []string{"w1"})
+}
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -86,6 +86,7 @@
 
 func (f *fleetView) peerLost(now time.Duration, p mesh.Peer, gone bool) {
 	k := f.up[p.Address]
+	delete(f.sharedAt, p.Incarnation)
 	if k == nil || k.Incarnation != p.Incarnation {
 		return
 	}
@@ -148,8 +149,12 @@
 			changed = true
 		}
 	}
-	if changed {
+	switch {
+	case changed:
 		n.reassign(now)
+	case f.settled:
+		// Workers that left with something running are dropped once it has ended.
+		n.executor.Remove(now, func(id string) bool { return f.workers[id] == nil })
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,6 +216,9 @@
 			n.wg.Go(func() { n.order(call) })
 		}
 	}
+	for _, id := range e.Dropped {
+		n.platform.Workers.Forget(id)
+	}
 	n.toCoordinators(now, e.Reports)
 	for _, t := range e.Takeovers {
 		n.askOwners(now, t)
