--- /dev/null
+++ b/coordinator/succession_test.go
@@ -0,0 +1,195 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// A peer dies with a task running on its worker. Its successor lists the task; it is
+// claimed and goes on, and the caller sees no delay.
+func TestRunIsClaimedFromSuccessor(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.report(peerB, x, task.Started, "w2", "")
+	r.c.HolderLost(r.now, peerB)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Running: []task.RunningTask{{ID: x.ID, Run: x.Run}}})
+	r.drain()
+	claims := r.messages[len(r.messages)-1].Claims
+	assert.Equal(t, len(claims.Tasks), 1)
+	r.report(peerC, x, task.Done, "w2", "")
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// The worker has ended the task before the successor came: the end counts.
+func TestEndBeforeTakeover(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.report(peerB, x, task.Started, "w2", "")
+	r.c.HolderLost(r.now, peerB)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Ended: []task.RunningTask{{ID: x.ID, Run: x.Run, Done: true}}})
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// A peer dies before it said whether it had started a task. Only when all its workers
+// were taken over and none lists the task is it safe to start it again.
+func TestUnknownStartWaitsForAllWorkers(t *testing.T) {
+	r := newRig(t)
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: []executor.Room{roomFor("w2", 1), roomFor("w3", 0)}})
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.c.HolderLost(r.now, peerB)
+	r.holder(self, 0, "w1", 1)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2"})
+	assert.Equal(t, len(r.offers(self)), 0, "it may run on the other worker")
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w3"})
+	again := r.offers(self)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Run, x.Run+1)
+}
+
+// No successor comes: the caller is not held to the deadline, and is told that the job
+// may have run.
+func TestUnresolvedTaskIsGivenUp(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	r.offers(peerB)
+	r.c.HolderLost(r.now, peerB)
+	r.now += lostWait
+	r.c.Tick(r.now)
+	a := r.answered()
+	assert.Equal(t, a.Status, GivenUp)
+	assert.Equal(t, a.Reason, ReasonHolderLost)
+}
+
+// Reports of an executor that has lost the task to another one don't count: its word is
+// older than the successor's.
+func TestReportOfAFormerHolder(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.report(peerB, x, task.Started, "w2", "")
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Running: []task.RunningTask{{ID: x.ID, Run: x.Run}}})
+	r.report(peerB, x, task.Moved, "w2", "worker_taken")
+	r.report(peerB, x, task.Gone, "w2", "")
+	assert.Equal(t, len(r.offers(self))+len(r.offers(peerB))+len(r.offers(peerC)), 0)
+	r.report(peerC, x, task.Done, "w2", "")
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// The successor's question comes before the news that the task had run on its worker.
+// The task is claimed late, where giving up would fail the caller though it runs on.
+func TestMovedAfterTheTakeover(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.holder(peerC, 1, "w3", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Running: []task.RunningTask{{ID: x.ID, Run: x.Run}}})
+	r.report(peerB, x, task.Moved, "w2", "worker_taken")
+	claims := r.messages[len(r.messages)-1].Claims
+	assert.Equal(t, len(claims.Tasks), 1)
+	r.report(peerC, x, task.Done, "w2", "")
+	assert.Equal(t, r.answered().Status, Completed)
+}
+
+// An orphan of the caller's first try bears the same name and number as our run, which
+// another executor is about to start. Claiming it would let both run.
+func TestOrphanOfAnEarlierTryIsNotClaimed(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(peerB)[0]
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w9", Running: []task.RunningTask{{ID: x.ID, Run: x.Run}}})
+	r.drain()
+	for _, m := range r.messages {
+		assert.Assert(t, m.Claims == nil || len(m.Claims.Tasks) == 0)
+	}
+}
+
+// The successor has lost the worker again and says so. Asking it once more would have the
+// two answer each other without end, which keeps the processor from everything else.
+func TestSuccessorThatLostTheWorkerIsNotAsked(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	x := r.offers(self)[0]
+	r.report(self, x, task.Started, "w2", "")
+	r.c.TakenOver(r.now, self, executor.Takeover{Worker: "w2"})
+	r.drain()
+	r.messages = nil
+	r.report(self, x, task.Moved, "w2", "not_held")
+	for _, m := range r.messages {
+		assert.Assert(t, m.Claims == nil)
+	}
+}
+
+// A peer that had a task dies, its workers are taken over, and no room is left to start
+// the task again. It may have run at the peer: "not run" would be untrue.
+func TestNotRunIsNotToldAfterASuccession(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	r.offers(peerB)
+	r.c.HolderLost(r.now, peerB)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2"})
+	assert.Equal(t, r.answered().Status, GivenUp)
+}
+
+// Another daemon notices the loss of a holder sooner than this one: its questions about the
+// workers come before our own notice. They count all the same; waiting for them to come
+// again would fail the callers though all is known.
+func TestTakeoverBeforeTheLossIsNoticed(t *testing.T) {
+	r := newRig(t)
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: []executor.Room{roomFor("w2", 1), roomFor("w3", 1)}})
+	r.holder(peerC, 1, "w4", 2)
+	r.c.Submit(r.now, testJob("j", 2))
+	tasks := r.offers(peerB)
+	assert.Equal(t, len(tasks), 2)
+	// The first runs on w2, though we were not told; of the second nobody knows.
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Running: []task.RunningTask{{ID: tasks[0].ID, Run: tasks[0].Run}}})
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w3"})
+	r.drain()
+	r.messages = nil
+	r.now += 100 * time.Millisecond
+	r.c.HolderLost(r.now, peerB)
+	r.drain()
+	claimed := 0
+	for _, m := range r.messages {
+		if m.Claims != nil {
+			claimed += len(m.Claims.Tasks)
+			assert.Equal(t, m.Claims.Tasks[0].ID, tasks[0].ID)
+		}
+	}
+	assert.Equal(t, claimed, 1, "what a successor listed is claimed: it may still run")
+	again := r.offers(peerC)
+	assert.Equal(t, len(again), 1, "what none listed is started again")
+	assert.Equal(t, again[0].ID, tasks[1].ID)
+}
+
+// A holder took one more worker after its last heartbeat and is lost then. A task of
+// unknown whereabouts may run on that worker too.
+func TestWorkerTakenAfterTheLastHeartbeat(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.holder(self, 0, "w1", 0)
+	r.c.Submit(r.now, testJob("j", 1))
+	assert.Equal(t, len(r.offers(peerB)), 1)
+	r.c.TakenOver(r.now, peerB, executor.Takeover{Worker: "w9"})
+	r.c.HolderLost(r.now, peerB)
+	r.holder(self, 0, "w1", 1)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2"})
+	assert.Equal(t, len(r.offers(self)), 0)
+	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w9"})
+	assert.Equal(t, len(r.offers(self)), 1)
+}
