--- a/capacity/vector.go
+++ b/capacity/vector.go
@@ -26,9 +26,9 @@
 	return Vector{v.MilliCPU - w.MilliCPU, v.MemoryMB - w.MemoryMB, v.GPUs - w.GPUs}
 }
 
-// Copies returns how often v fits into free; max bounds the result.
-func (v Vector) Copies(free Vector, max int) int {
-	n := int64(max)
+// Copies returns how often v fits into free; most bounds the result.
+func (v Vector) Copies(free Vector, most int) int {
+	n := int64(most)
 	for _, r := range [...][2]int64{{v.MilliCPU, free.MilliCPU}, {v.MemoryMB, free.MemoryMB}, {v.GPUs, free.GPUs}} {
 		switch {
 		case r[0] > 0:
@@ -37,12 +37,5 @@
 			return 0
 		}
 	}
-	return int(maxInt64(n, 0))
-}
-
-func maxInt64(a, b int64) int64 {
-	if a > b {
-		return a
-	}
-	return b
+	return int(max(n, 0))
 }
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -65,13 +65,14 @@
 
 // Reasons.
 const (
-	ReasonTooLarge   Reason = "too_large"
 	ReasonNoWorkers  Reason = "no_workers"
 	ReasonNoRoom     Reason = "no_room"
 	ReasonDeadline   Reason = "deadline"
 	ReasonHolderLost Reason = "holder_lost"
 	ReasonTooLate    Reason = "too_late_to_restart"
 	ReasonStopping   Reason = "stopping"
+	// ReasonCanceled: a caller canceled the job while another waited for it.
+	ReasonCanceled Reason = "canceled"
 )
 
 // Answer is the one answer of a job.
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -20,6 +20,8 @@
 	// tellPeersEvery is how often heartbeats name the peers: those that a new process
 	// doesn't know are found by it, also without the store.
 	tellPeersEvery = time.Second
+	// tellPeersFor is how long they do each time: two heartbeats, so that each link has one.
+	tellPeersFor = 200 * time.Millisecond
 	// minorityWait is how long a daemon that has lost half of its peers to silence
 	// leaves their workers alone: it is more likely cut off itself, and would take
 	// workers from holders that go on serving.
@@ -99,8 +101,7 @@
 
 func (f *fleetView) tellPeers(now time.Duration) bool {
 	if now-f.toldAt < tellPeersEvery && f.toldAt > 0 {
-		// Every link gets a heartbeat within the interval after the turn.
-		return now-f.toldAt < 2*tickEvery*4
+		return now-f.toldAt < tellPeersFor
 	}
 	f.toldAt = now
 	return true
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -88,7 +88,7 @@
 		}
 		known = true
 		n.coordinator.Cancel(now, id)
-		n.answered(coordinator.Answer{Job: id, Status: coordinator.GivenUp, Reason: "canceled"})
+		n.answered(coordinator.Answer{Job: id, Status: coordinator.GivenUp, Reason: coordinator.ReasonCanceled})
 	})
 	return known
 }
--- a/test/leased/faults_test.go
+++ b/test/leased/faults_test.go
@@ -42,6 +42,7 @@
 		s.daemons[1].run()
 	})
 	assert.Assert(t, out.completed >= 2)
+	assert.Equal(t, out.abandoned, 0)
 }
 
 // A daemon freezes for three seconds and wakes, unaware. Its workers are taken over
@@ -75,6 +76,7 @@
 		}
 	})
 	assert.Assert(t, out.completed >= 2)
+	assert.Equal(t, out.abandoned, 0)
 }
 
 // A daemon is asked to stop. Callers on it are answered, its workers pass to its peers
@@ -141,6 +143,7 @@
 		time.Sleep(3 * time.Second)
 	})
 	assert.Assert(t, out.completed >= 4)
+	assert.Equal(t, out.abandoned, 0)
 }
 
 // Workers fail all they start, and some make no progress; the others serve the callers.
