--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -154,10 +154,6 @@
 // offer places one task.
 func (c *Coordinator) offer(now time.Duration, j *job, t *jobTask) {
 	if j.Kept {
-		if !j.ready(t.ID.Step) {
-			t.state = blocked
-			return
-		}
 		if c.held {
 			c.postpone(now, t)
 			return
--- a/executor/kept_test.go
+++ b/executor/kept_test.go
@@ -228,3 +228,31 @@
 	r.endPoll("w", endOf(1, a.ID, 1, "done"))
 	assert.Equal(t, r.take(CallStart, "w").ID, b.ID)
 }
+
+// Of a worker that is told about, all ends are told, also those of jobs that were not asked
+// for: the coordinator takes what is not in the lists as over.
+func TestRecallTellsAllEnds(t *testing.T) {
+	r := newRig(t)
+	r.hold("w")
+	a, b := keptTask("a", 0), keptTask("b", 0)
+	r.started(ownerA, a)
+	r.started(ownerA, b)
+	r.endPoll("w", endOf(1, a.ID, 1, "done"), endOf(2, b.ID, 1, "done"))
+	r.e.Recall(r.now, ownerA, []string{"a"})
+	r.drain()
+	assert.Equal(t, len(r.asked[len(r.asked)-1].Ended), 2)
+}
+
+// Another holder takes the worker: it finds the ends on the list, and settling them is its
+// business. An older settlement must not make this one acknowledge anything.
+func TestTakenWorkerHasNoHeldEnds(t *testing.T) {
+	r := newRig(t)
+	r.hold("w")
+	k := keptTask("a", 0)
+	r.started(ownerA, k)
+	r.endPoll("w", endOf(1, k.ID, 1, "done"))
+	r.pass(unsettledPace)
+	r.answer(r.take(CallPoll, "w"), Answer{Verdict: Fenced})
+	assert.Equal(t, len(r.e.workers["w"].unsettled), 0)
+	assert.Assert(t, !r.e.workers["w"].lapsing())
+}
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -126,7 +126,7 @@
 	addresses []netip.AddrPort
 }
 
-func newNodeServers(s platform.Settings, n *node.Node) *nodeServers {
+func newNodeServers(s platform.Settings, c schema.NodeSettings, n *node.Node) *nodeServers {
 	gin.SetMode(gin.ReleaseMode)
 	front := gin.New()
 	front.NoRoute(func(c *gin.Context) {
@@ -140,10 +140,25 @@
 	server := func(h http.Handler) *http.Server {
 		return &http.Server{Handler: h, ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
 	}
-	return &nodeServers{
+	servers := &nodeServers{
 		servers:   []*http.Server{server(front), server(platform.NewReady(n.Ready))},
 		addresses: []netip.AddrPort{s.Front, s.Ready},
 	}
+	if c.MetricsPort != 0 {
+		servers.servers = append(servers.servers, server(metricsHandler(n)))
+		servers.addresses = append(servers.addresses, netip.AddrPortFrom(s.Front.Addr(), c.MetricsPort))
+	}
+	return servers
+}
+
+// metricsHandler serves the daemon's counters at /metrics.
+func metricsHandler(n *node.Node) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		n.WriteMetrics(w)
+	})
+	return mux
 }
 
 // start listens on all addresses.
--- /dev/null
+++ b/internal/node/heirs_test.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/internal/mesh"
+	"github.com/lavendercleat/lavendercleat/ledger"
+	"github.com/lavendercleat/lavendercleat/member"
+)
+
+// idle is a daemon that was never started, and the time that its tests let pass.
+type idle struct {
+	*Node
+	t   *testing.T
+	now time.Duration
+}
+
+func newIdle(t *testing.T) *idle {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n, err := New(Config{
+		Name: "d", Domain: "a", Address: netip.MustParseAddrPort("127.0.0.1:1"), Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Lease: time.Second, StopWithin: 50 * time.Millisecond,
+	}, Platform{}, log)
+	assert.NilError(t, err)
+	t.Cleanup(n.mesh.Close)
+	n.cancel() // nothing is sent
+	return &idle{Node: n, t: t, now: 10 * time.Second}
+}
+
+func peer(n uint64) mesh.Peer {
+	return mesh.Peer{Process: member.Process{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80), Incarnation: n}}
+}
+
+func keptJob(id string) coordinator.Job {
+	return coordinator.Job{ID: id, Service: "s", Attempts: 1, Kept: true, Steps: []coordinator.Step{{Count: 1}}}
+}
+
+// keeps makes the daemon the owner of a job, one task of which is offered to a peer.
+func (n *idle) keeps(id string) {
+	n.keeper.ledger.Titled(1)
+	n.keeper.ledger.Add(n.now, ledger.Record{Job: keptJob(id)})
+	b, _ := n.keeper.ledger.Next(n.now)
+	n.keeper.ledger.Written(n.now, b, ledger.Result{Revision: 2})
+	n.coordinator.SetHolder(coordinator.Holder{Process: peer(2).Process, Rooms: []executor.Room{{Worker: "w", Service: "s", Open: true, Usable: true}}})
+	n.coordinator.Submit(n.now, keptJob(id))
+}
+
+// pass lets time pass by ticks and returns what was sent to executors.
+func (n *idle) pass(d time.Duration) (sent []coordinator.Message) {
+	for end := n.now + d; n.now < end; {
+		n.now += tickEvery
+		n.noticeGap(n.now)
+		n.keeperTick(n.now)
+		n.coordinator.Tick(n.now)
+		sent = append(sent, n.coordinator.Drain().Messages...)
+	}
+	return sent
+}
+
+func relinquished(messages []coordinator.Message) (count int) {
+	for _, m := range messages {
+		count += len(m.Relinquish)
+	}
+	return count
+}
+
+// A daemon is cut off from its peers and the store, with tasks that run on. It can't know
+// whether its title stands; before an heir starts the tasks again it takes them back.
+func TestUnprovedTitle(t *testing.T) {
+	n := newIdle(t)
+	n.keeps("a")
+	assert.Equal(t, relinquished(n.pass(10*titleAge)), 0, "no reason for doubt")
+	n.ownerLost(n.now, peer(3))
+	assert.Equal(t, relinquished(n.pass(titleAge-100*time.Millisecond)), 0)
+	assert.Equal(t, relinquished(n.pass(200*time.Millisecond)), 1)
+}
+
+// While the proofs come, nothing is taken back.
+func TestProvedTitle(t *testing.T) {
+	n := newIdle(t)
+	n.keeps("a")
+	n.ownerLost(n.now, peer(3))
+	for range 20 {
+		n.keeper.title.provedAt = n.now
+		assert.Equal(t, relinquished(n.pass(verifyEvery)), 0)
+	}
+}
+
+// A daemon stands still and goes on. Until a proof that began afterwards it offers nothing:
+// an heir may have started the tasks.
+func TestGapHoldsKeptTasks(t *testing.T) {
+	n := newIdle(t)
+	n.keeps("a")
+	n.pass(time.Second)
+	n.now += 3 * time.Second
+	n.pass(tickEvery)
+	gap := n.keeper.title.gapAt
+	assert.Assert(t, gap > 0)
+	n.coordinator.SetHolder(coordinator.Holder{Process: peer(2).Process, Rooms: []executor.Room{{Worker: "w", Service: "s", Open: true, Usable: true}}})
+	n.coordinator.Submit(n.now, keptJob("b"))
+	for _, m := range n.pass(time.Second) {
+		assert.Equal(t, len(m.Offer), 0)
+	}
+	n.keeper.title.provedAt, n.keeper.title.gapAt = n.now, 0
+	offers := 0
+	for _, m := range n.pass(500 * time.Millisecond) {
+		offers += len(m.Offer)
+	}
+	assert.Equal(t, offers, 1)
+}
+
+// Titles are removed of owners that are gone, and of those that are seen never.
+func TestWhoseTitleIsRemoved(t *testing.T) {
+	n := newIdle(t)
+	for i := range uint64(4) {
+		n.fleet.peerUp(peer(i + 2))
+	}
+	removed := func(p member.Process) bool {
+		remove, _ := n.shouldRemove(n.now, "title", p)
+		return remove
+	}
+	lost := peer(9).Process
+	heirs := n.fleet.processes(n.self)
+	mine := ledger.Heir("title", heirs) == n.self.Process
+	assert.Assert(t, !removed(n.self.Process))
+	assert.Assert(t, !removed(peer(2).Process))
+	assert.Assert(t, removed(member.Process{Address: n.self.Address, Incarnation: 77}), "an earlier process of this daemon")
+	assert.Assert(t, !removed(lost))
+	n.now += removeAfter
+	assert.Equal(t, removed(lost), mine)
+	restarted := member.Process{Address: peer(3).Address, Incarnation: 99}
+	assert.Equal(t, removed(restarted), mine, "its daemon has a new process")
+}
+
+// This daemon has lost sight of most others: it is more likely cut off itself, and leaves
+// their titles for longer.
+func TestMinorityLeavesTitles(t *testing.T) {
+	n := newIdle(t)
+	for i := range uint64(3) {
+		n.shouldRemove(n.now, "title", peer(i+2).Process)
+	}
+	n.now += 2 * removeAfter
+	remove, again := n.shouldRemove(n.now, "title", peer(2).Process)
+	assert.Assert(t, !remove && again)
+	n.now += minorityWait
+	remove, _ = n.shouldRemove(n.now, "title", peer(2).Process)
+	assert.Assert(t, remove)
+}
+
+// Only jobs whose owners have no title are adopted, and this daemon's own that it has
+// forgotten by losing its title in between.
+func TestWhichJobsAreAdopted(t *testing.T) {
+	n := newIdle(t)
+	entry := func(id string, owner uint64) ledger.Entry {
+		r := ledger.Record{Job: keptJob(id), Owner: owner}
+		return ledger.Entry{Key: ledger.Key{Kind: ledger.RecordEntry, ID: id}, Value: r.Encode(), Revision: 5}
+	}
+	titles := []ledger.Entry{
+		{Key: ledger.Key{Kind: ledger.TitleEntry, ID: "x"}, Value: ledger.EncodeTitle(peer(2).Process, "x")},
+		{Key: ledger.Key{Kind: ledger.TitleEntry, ID: "d"}, Value: ledger.EncodeTitle(n.self.Process, "d")},
+	}
+	records := []ledger.Entry{entry("standing", 2), entry("orphan", 3), entry("own", n.self.Incarnation)}
+	assert.Assert(t, n.adopt(n.now, records, titles), "looked at again until all have owners")
+	assert.Assert(t, !n.keeper.ledger.Has("standing"))
+	assert.Assert(t, n.keeper.ledger.Has("orphan"))
+	assert.Assert(t, n.keeper.ledger.Has("own"))
+	assert.Assert(t, !n.adopt(n.now, []ledger.Entry{}, titles))
+	assert.Assert(t, n.adopt(n.now, nil, titles[:1]), "a title has vanished")
+}
--- a/schema/settings_plain.go
+++ b/schema/settings_plain.go
@@ -191,6 +191,8 @@
 	StopTimeout time.Duration `name:"stop-timeout" env:"LAVENDERCLEAT_STOP_TIMEOUT" help:"Longest time a planned stop waits for jobs in flight after that." default:"2500ms"`
 	// Address (IP:port) to listen on for peers when it differs from the one peers use.
 	PeerListen netip.AddrPort `name:"peer-listen" env:"LAVENDERCLEAT_PEER_LISTEN" help:"Address (IP:port) to listen on for peers when it differs from the one peers use." optional:""`
+	// Port on which the address for callers also serves /metrics; 0 for none.
+	MetricsPort uint16 `name:"metrics-port" env:"LAVENDERCLEAT_METRICS_PORT" help:"Port on which the address for callers also serves /metrics; 0 for none." default:"0"`
 	// Garbage collector's target: growth of the heap in percent between two collections.
 	GcPercent int `name:"gc-percent" env:"LAVENDERCLEAT_GC_PERCENT" help:"Garbage collector's target: growth of the heap in percent between two collections." default:"60"`
 }
