--- /dev/null
+++ b/fleet/cells.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+)
+
+const (
+	// maxCell is the number of daemons in a cell, on average, above which cells are
+	// divided. Each daemon exchanges heartbeats with all others of its cell, ten a second,
+	// which at this number take a tenth of a small daemon's processor.
+	maxCell = 44
+	// minCell is the number below which cells are joined again; it is less than half of
+	// maxCell, so that a fleet at a limit doesn't change by turns.
+	minCell = 18
+	// maxCellBits bounds the number of cells.
+	maxCellBits = 10
+)
+
+// Cells divides a large fleet: the daemons of a cell are linked with each other, hold the
+// cell's workers together and pass tasks among themselves. Without cells heartbeats would
+// grow with the square of the daemons. The zero value is one cell.
+type Cells struct {
+	// bits is the number of leading bits of a daemon's hash that name its cell.
+	bits int
+}
+
+// Fit returns the cells for a number of daemons, near the present ones.
+func (c Cells) Fit(daemons int) Cells {
+	for c.bits < maxCellBits && daemons > maxCell<<c.bits {
+		c.bits++
+	}
+	for c.bits > 0 && daemons < minCell<<c.bits {
+		c.bits--
+	}
+	return c
+}
+
+// Count returns the number of cells.
+func (c Cells) Count() int { return 1 << c.bits }
+
+// Of returns the cell of a daemon.
+func (c Cells) Of(daemon netip.AddrPort) int {
+	if c.bits == 0 {
+		return 0
+	}
+	return int(xxhash.Sum64String(daemon.String()) >> (64 - c.bits))
+}
+
+// Workers returns those of a cell. Each cell gets a share by the number of its daemons,
+// separately of each failure domain's workers.
+func (c Cells) Workers(cell int, workers []executor.WorkerInfo, daemons []netip.AddrPort) []executor.WorkerInfo {
+	if c.bits == 0 {
+		return workers
+	}
+	sizes := make([]int, c.Count())
+	for _, d := range daemons {
+		sizes[c.Of(d)]++
+	}
+	byDomain := make(map[string][]executor.WorkerInfo)
+	for _, w := range workers {
+		byDomain[w.Domain] = append(byDomain[w.Domain], w)
+	}
+	var own []executor.WorkerInfo
+	for _, pool := range byDomain {
+		slices.SortFunc(pool, func(a, b executor.WorkerInfo) int {
+			return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+		})
+		from, to := share(len(pool), sizes, cell)
+		own = append(own, pool[from:to]...)
+	}
+	return own
+}
+
+// share returns the part of n things that goes to a place, by the sizes of all places.
+func share(n int, sizes []int, place int) (from, to int) {
+	total, before := 0, 0
+	for i, s := range sizes {
+		total += s
+		if i < place {
+			before += s
+		}
+	}
+	if total == 0 {
+		return 0, 0
+	}
+	return n * before / total, n * (before + sizes[place]) / total
+}
--- /dev/null
+++ b/fleet/cells_test.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+)
+
+func addresses(n int) (list []netip.AddrPort) {
+	for i := range n {
+		list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % 5), byte(i / 250), byte(i % 250)}), 8000))
+	}
+	return list
+}
+
+// A fleet of the size of a few dozen is one cell: all daemons are linked.
+func TestSmallFleetIsOneCell(t *testing.T) {
+	c := Cells{}.Fit(maxCell)
+	assert.Equal(t, c.Count(), 1)
+	workers := []executor.WorkerInfo{{ID: "a"}, {ID: "b"}}
+	assert.Equal(t, len(c.Workers(0, workers, addresses(3))), 2)
+}
+
+// Cells stay near their size at any number of daemons, and a daemon more or less at a
+// limit doesn't change them back and forth.
+func TestCellsFit(t *testing.T) {
+	c := Cells{}
+	for n := range 1000 {
+		if c = c.Fit(n); c.Count() > 1 {
+			assert.Assert(t, n/c.Count() <= maxCell && n/c.Count() >= minCell, "%d daemons in %d cells", n, c.Count())
+		}
+		assert.Equal(t, c.Fit(n-1), c)
+	}
+	assert.Equal(t, c.Fit(5).Count(), 1)
+}
+
+// Each worker belongs to one cell, and cells get workers of each domain by their sizes.
+func TestCellsDivideWorkers(t *testing.T) {
+	daemons := addresses(300)
+	c := Cells{}.Fit(len(daemons))
+	var workers []executor.WorkerInfo
+	for i := range 350 {
+		workers = append(workers, executor.WorkerInfo{ID: fmt.Sprint("w", i), Domain: fmt.Sprint(i % 5)})
+	}
+	sizes := make([]int, c.Count())
+	for _, d := range daemons {
+		sizes[c.Of(d)]++
+	}
+	seen := make(map[string]int)
+	for cell := range c.Count() {
+		own := c.Workers(cell, workers, daemons)
+		wanted := len(workers) * sizes[cell] / len(daemons)
+		assert.Assert(t, len(own) >= wanted-5 && len(own) <= wanted+5, "cell of %d daemons has %d workers", sizes[cell], len(own))
+		for _, w := range own {
+			seen[w.ID]++
+		}
+	}
+	assert.Equal(t, len(seen), len(workers))
+	for id, n := range seen {
+		assert.Equal(t, n, 1, id)
+	}
+}
+
+// A daemon more moves few workers between cells.
+func TestCellsMoveFewWorkers(t *testing.T) {
+	c := Cells{}.Fit(200)
+	var workers []executor.WorkerInfo
+	for i := range 400 {
+		workers = append(workers, executor.WorkerInfo{ID: fmt.Sprint("w", i), Domain: fmt.Sprint(i % 4)})
+	}
+	cellOf := func(daemons []netip.AddrPort) map[string]int {
+		m := make(map[string]int)
+		for cell := range c.Count() {
+			for _, w := range c.Workers(cell, workers, daemons) {
+				m[w.ID] = cell
+			}
+		}
+		return m
+	}
+	before, after := cellOf(addresses(200)), cellOf(addresses(201))
+	moved := 0
+	for id, cell := range before {
+		if after[id] != cell {
+			moved++
+		}
+	}
+	assert.Assert(t, moved <= 20, "%d of 400 moved", moved)
+}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -54,6 +54,8 @@
 	pulseDue bool
 	// failed: an attempt to reach the peer has failed.
 	failed bool
+	// parted: the daemon is not to be linked any more.
+	parted bool
 }
 
 func newLink(m *Mesh, a netip.AddrPort) *link {
@@ -75,6 +77,22 @@
 	l.poke()
 }
 
+// part ends the link for good.
+func (l *link) part() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.parted = true
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+func (l *link) isParted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.parted
+}
+
 func (l *link) poke() {
 	select {
 	case l.wake <- struct{}{}:
@@ -111,11 +129,11 @@
 		l.mu.Lock()
 		l.failed = l.failed || err != nil
 		l.mu.Unlock()
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) || l.isParted() {
 			l.lose(true)
 		}
 		l.checkSilence()
-		if l.forgotten() {
+		if l.forgotten() || l.isParted() {
 			l.mesh.forget(l)
 			return
 		}
@@ -179,8 +197,8 @@
 // write sends pulses and the outbox until the connection breaks or goes silent.
 func (l *link) write(c net.Conn, broken chan struct{}) error {
 	w := bufio.NewWriterSize(c, 4096)
-	ticker := time.NewTicker(pulseInterval)
-	defer ticker.Stop()
+	tick := time.NewTimer(l.mesh.nextPulse())
+	defer tick.Stop()
 	pulse := true
 	for {
 		if err := l.flush(c, w, pulse); err != nil {
@@ -193,7 +211,8 @@
 		case <-broken:
 			return nil
 		case <-l.wake:
-		case <-ticker.C:
+		case <-tick.C:
+			tick.Reset(l.mesh.nextPulse())
 			pulse = true
 			if l.connectionSilentFor() > redialAfter {
 				return nil
@@ -204,10 +223,13 @@
 
 // flush writes what is queued, and a pulse.
 func (l *link) flush(c net.Conn, w *bufio.Writer, pulse bool) error {
-	var p *schema.Pulse
+	var common []byte
 	pulse = l.takePulseDue() || pulse
 	if pulse {
-		p = l.mesh.handler.Pulse()
+		var err error
+		if common, err = l.mesh.pulse.get(l.mesh.handler); err != nil {
+			return err
+		}
 	}
 	l.mu.Lock()
 	frames := l.outbox[min(l.sent, len(l.outbox)):]
@@ -215,9 +237,7 @@
 	ack := l.arrived
 	needsAck := l.ackDue
 	l.ackDue = false
-	if p != nil {
-		p.SentMs, p.EchoMs = l.mesh.clock(), l.echo
-	}
+	echo := l.echo
 	l.mu.Unlock()
 	_ = c.SetWriteDeadline(time.Now().Add(redialAfter))
 	for _, f := range frames {
@@ -227,8 +247,8 @@
 		}
 	}
 	switch {
-	case p != nil:
-		if _, err := protodelim.MarshalTo(w, &schema.Frame{Acknowledged: ack, Body: &schema.Frame_Pulse{Pulse: p}}); err != nil {
+	case pulse:
+		if err := writePulse(w, common, ack, l.mesh.clock(), echo); err != nil {
 			return err
 		}
 	case needsAck && len(frames) == 0:
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -68,8 +68,12 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
+	pulse pulseCache
+
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
+	// linked tells which daemons to link; nil for all.
+	linked func(netip.AddrPort) bool
 }
 
 // New returns a mesh that links nobody yet. Peers reach it at self's address; it listens
@@ -114,6 +118,19 @@
 	}
 }
 
+// Restrict links only daemons for which linked is true from now on. Links to others end,
+// as if their processes were gone.
+func (m *Mesh) Restrict(linked func(netip.AddrPort) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.linked = linked
+	for a, l := range m.links {
+		if !linked(a) {
+			l.part()
+		}
+	}
+}
+
 // Send queues a numbered frame for a process; it is dropped when the process is not linked.
 func (m *Mesh) Send(to member.Process, f *schema.Frame) {
 	m.mu.Lock()
@@ -154,13 +171,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.links[a]
-	if l == nil && a != m.address && m.ctx.Err() == nil {
+	if l == nil && a != m.address && m.ctx.Err() == nil && (m.linked == nil || m.linked(a)) {
 		l = newLink(m, a)
 		m.links[a] = l
 		m.wg.Go(l.run)
 	}
 	if l == nil {
-		return new(link) // ourselves, or closing: a link that does nothing
+		return new(link) // ourselves, closing, or not to be linked: a link that does nothing
 	}
 	return l
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -193,3 +193,18 @@
 	greet(2)
 	eventually(t, "a later session ends the one before", func() bool { return b.count("lost gone=false") == 1 })
 }
+
+// A large fleet is divided, and two daemons are in different cells from now on: their link
+// ends on both sides, and a greeting makes no new one.
+func TestRestrict(t *testing.T) {
+	a, b, _, _ := linked(t)
+	a.Restrict(func(netip.AddrPort) bool { return false })
+	eventually(t, "parted", func() bool { return a.count("lost gone=true") == 1 && b.count("lost gone=false")+b.count("lost gone=true") == 1 })
+	b.Know(a.self.Address)
+	a.Know(b.self.Address)
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, len(a.Peers())+len(b.Peers()), 0)
+	a.Restrict(func(netip.AddrPort) bool { return true })
+	a.Know(b.self.Address)
+	eventually(t, "linked again", func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
+}
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -5,11 +5,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lavendercleat/lavendercleat/executor"
 	"github.com/lavendercleat/lavendercleat/fleet"
 	"github.com/lavendercleat/lavendercleat/internal/mesh"
 	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/registry"
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
@@ -23,6 +25,8 @@
 	tellPeersEvery = time.Second
 	// tellPeersFor is how long they do each time: two heartbeats, so that each link has one.
 	tellPeersFor = 200 * time.Millisecond
+	// fewerWait is how long a fleet has to be smaller before its cells are joined.
+	fewerWait = 15 * time.Second
 	// minorityWait is how long a daemon that has lost half of its peers to silence
 	// leaves their workers alone: it is more likely cut off itself, and would take
 	// workers from holders that go on serving.
@@ -54,8 +58,15 @@
 type fleetView struct {
 	up      map[netip.AddrPort]*knownPeer
 	workers map[string]*knownWorker
-	settled bool
-	toldAt  time.Duration
+	// daemons are the addresses of the other daemons' entries in the registry, by name.
+	daemons map[string]netip.AddrPort
+	// cells divides large fleets; cell is this daemon's.
+	cells fleet.Cells
+	cell  int
+	// fewerSince is since when there are too few daemons for the cells; 0: there are not.
+	fewerSince time.Duration
+	settled    bool
+	toldAt     time.Duration
 	// outage is when the store last failed.
 	outage time.Duration
 	// revision is that of the newest entry.
@@ -66,7 +77,7 @@
 
 func newFleetView() fleetView {
 	return fleetView{
-		up: make(map[netip.AddrPort]*knownPeer), workers: make(map[string]*knownWorker),
+		up: make(map[netip.AddrPort]*knownPeer), workers: make(map[string]*knownWorker), daemons: make(map[string]netip.AddrPort),
 		sharedAt: make(map[uint64]time.Duration),
 	}
 }
@@ -157,10 +168,86 @@
 	return list
 }
 
+// addresses returns the daemons that are known, this one too.
+func (f *fleetView) addresses(self netip.AddrPort) []netip.AddrPort {
+	list := []netip.AddrPort{self}
+	for _, a := range f.daemons {
+		if a != self {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// inCell reports whether a daemon is of this daemon's cell.
+func (f *fleetView) inCell(a netip.AddrPort) bool { return f.cells.Of(a) == f.cell }
+
+// entered reports whether the daemon has an entry in the registry.
+func (f *fleetView) entered(a netip.AddrPort) bool {
+	for _, d := range f.daemons {
+		if d == a {
+			return true
+		}
+	}
+	return false
+}
+
+// takeDaemons takes entries of daemons and links those of this daemon's cell. The lock is held.
+func (n *Node) takeDaemons(now time.Duration, items []registry.Item) {
+	f := &n.fleet
+	for _, i := range items {
+		if i.Deleted {
+			delete(f.daemons, i.ID)
+			continue
+		}
+		var id schema.Identity
+		if err := proto.Unmarshal(i.Content, &id); err != nil {
+			n.log.WithFields(logrus.Fields{"event": "entry_invalid", "daemon": i.ID, "error": err}).Error()
+			continue
+		}
+		if a, err := netip.ParseAddrPort(id.GetAddress()); err == nil {
+			f.daemons[i.ID] = a
+		}
+	}
+	n.fitCells(now)
+	for _, a := range f.addresses(n.self.Address) {
+		if a != n.self.Address && f.inCell(a) {
+			n.mesh.Know(a)
+		}
+	}
+	if f.cells.Count() > 1 {
+		n.reassign(now) // cells share the workers by their sizes
+	}
+}
+
+// fitCells divides the fleet anew where its size asks for it. Fewer daemons have to stay
+// so for a while: their entries may all have lapsed with the store.
+func (n *Node) fitCells(now time.Duration) {
+	f := &n.fleet
+	count := len(f.addresses(n.self.Address))
+	cells := f.cells.Fit(count)
+	switch {
+	case cells == f.cells:
+		f.fewerSince = 0
+		return
+	case cells.Count() < f.cells.Count() && f.fewerSince == 0:
+		f.fewerSince = now
+		return
+	case cells.Count() < f.cells.Count() && now-f.fewerSince < fewerWait:
+		return
+	}
+	f.cells, f.cell, f.fewerSince = cells, cells.Of(n.self.Address), 0
+	n.log.WithFields(logrus.Fields{"event": "cells_changed", "cells": cells.Count(), "cell": f.cell, "daemons": count}).Info()
+	n.mesh.Restrict(func(a netip.AddrPort) bool { return cells.Of(a) == cells.Of(n.self.Address) })
+}
+
 // fleetTick acts on what time alone changes.
 func (n *Node) fleetTick(now time.Duration) {
 	f := &n.fleet
 	changed := f.dropMissing(now)
+	if f.fewerSince > 0 {
+		n.fitCells(now)
+	}
 	if !f.settled && len(f.workers) > 0 && (n.mesh.Settled() || now >= settleTime) {
 		f.settled = true
 		changed = true
@@ -202,6 +289,7 @@
 		all = append(all, w.info)
 		n.executor.Update(w.info)
 	}
+	all = f.cells.Workers(f.cell, all, f.addresses(n.self.Address))
 	holders := fleet.Assign(all, f.members(now, n.self, n.stopping.Load()))
 	var own []executor.WorkerInfo
 	for _, w := range all {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,19 +86,25 @@
 // Snapshot replaces what is known of the workers; what is not shown has gone, or has
 // lapsed with the store.
 func (f follower) Snapshot(items []registry.Item) {
-	shown := make(map[string]bool, len(items))
+	shown := make(map[registry.Kind]map[string]bool)
 	for _, i := range items {
-		if i.Kind == registry.Worker {
-			shown[i.ID] = true
+		if shown[i.Kind] == nil {
+			shown[i.Kind] = make(map[string]bool)
 		}
+		shown[i.Kind][i.ID] = true
 	}
 	f.Changed(items)
 	if !f.fleet {
 		return
 	}
 	f.n.do(func(now time.Duration) {
+		for name := range f.n.fleet.daemons {
+			if !shown[registry.Daemon][name] {
+				delete(f.n.fleet.daemons, name)
+			}
+		}
 		for id := range f.n.fleet.workers {
-			if !shown[id] {
+			if !shown[registry.Worker][id] {
 				f.n.fleet.vanished(now, id)
 			}
 		}
@@ -110,21 +115,24 @@
 // Changed takes changes.
 func (f follower) Changed(items []registry.Item) {
 	f.n.storeAnswered()
-	var workers []registry.Item
+	var workers, daemons []registry.Item
 	for _, i := range items {
 		switch {
 		case i.Kind == registry.Worker:
 			workers = append(workers, i)
 		case i.Kind == registry.Configuration && !i.Deleted:
 			f.n.takeDocument(i.Content, "store")
-		case i.Kind == registry.Daemon && !i.Deleted:
-			f.n.takeDaemon(i.Content)
+		case i.Kind == registry.Daemon:
+			daemons = append(daemons, i)
 		}
 	}
-	if len(workers) == 0 {
+	if len(workers)+len(daemons) == 0 {
 		return
 	}
 	f.n.do(func(now time.Duration) {
+		if len(daemons) > 0 {
+			f.n.takeDaemons(now, daemons)
+		}
 		if f.n.takeEntries(now, workers) {
 			f.n.reassign(now)
 		}
@@ -260,18 +268,6 @@
 	})
 }
 
-// takeDaemon notes the address of another daemon.
-func (n *Node) takeDaemon(content []byte) {
-	var id schema.Identity
-	if err := proto.Unmarshal(content, &id); err != nil {
-		n.log.WithFields(logrus.Fields{"event": "entry_invalid", "error": err}).Error()
-		return
-	}
-	if a, err := netip.ParseAddrPort(id.GetAddress()); err == nil && a != n.self.Address {
-		n.mesh.Know(a)
-	}
-}
-
 // keepEntry keeps this daemon's own entry in the registry, by which peers find it.
 func (n *Node) keepEntry() {
 	content, err := proto.Marshal(&schema.Identity{
--- a/internal/node/heirs.go
+++ b/internal/node/heirs.go
@@ -197,6 +197,9 @@
 	if owner.Address == n.self.Address {
 		return true, false // an earlier process of this daemon
 	}
+	if !n.fleet.inCell(owner.Address) && n.fleet.entered(owner.Address) {
+		return false, false // its own cell knows better
+	}
 	since, ok := h.unseen[owner.Incarnation]
 	if !ok {
 		since = now
--- a/internal/node/heirs_test.go
+++ b/internal/node/heirs_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/lavendercleat/lavendercleat/coordinator"
@@ -14,6 +16,9 @@
 	"github.com/lavendercleat/lavendercleat/internal/mesh"
 	"github.com/lavendercleat/lavendercleat/ledger"
 	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/registry"
+	"github.com/lavendercleat/lavendercleat/routing"
+	"github.com/lavendercleat/lavendercleat/schema"
 )
 
 // idle is a daemon that was never started, and the time that its tests let pass.
@@ -156,6 +161,78 @@
 	assert.Assert(t, remove)
 }
 
+// A process has stood still and goes on: its last word from the store is old, and yet the
+// store is there. It takes a job; only after a call has failed it refuses some at once.
+func TestStandstillIsNoOutage(t *testing.T) {
+	n := newIdle(t)
+	r := Request{ID: "a", Route: &routing.Route{Name: "r", Service: "s"}, Steps: []coordinator.Step{{Count: 1}}}
+	n.documents.answered = n.now - 5*time.Second
+	waiting, _ := n.keepJob(n.now, r)
+	assert.Assert(t, waiting != nil)
+	n.fleet.outage = n.now
+	r.ID = "b"
+	waiting, a := n.keepJob(n.now, r)
+	assert.Assert(t, waiting == nil)
+	assert.Equal(t, a.Reason, coordinator.ReasonNoStore)
+	n.documents.answered = n.now
+	waiting, _ = n.keepJob(n.now, r)
+	assert.Assert(t, waiting != nil)
+}
+
+// daemonEntry is the registry's entry of a peer.
+func daemonEntry(n uint64, deleted bool) registry.Item {
+	p := peer(n)
+	b, err := proto.Marshal(&schema.Identity{Address: p.Address.String(), Incarnation: n})
+	if err != nil {
+		panic(err)
+	}
+	return registry.Item{Kind: registry.Daemon, ID: fmt.Sprint(n), Content: b, Deleted: deleted}
+}
+
+// A fleet grows beyond one cell: links to the others end. Then the store loses all
+// entries for a moment: the cells stay, or all daemons would link each other at once.
+func TestCellsOfALargeFleet(t *testing.T) {
+	n := newIdle(t)
+	var items, gone []registry.Item
+	for i := range uint64(120) {
+		items = append(items, daemonEntry(i+2, false))
+		gone = append(gone, daemonEntry(i+2, true))
+	}
+	n.takeDaemons(n.now, items[:30])
+	assert.Equal(t, n.fleet.cells.Count(), 1)
+	n.takeDaemons(n.now, items)
+	assert.Equal(t, n.fleet.cells.Count(), 4)
+	in := 0
+	for _, a := range n.fleet.addresses(n.self.Address) {
+		if n.fleet.inCell(a) {
+			in++
+		}
+	}
+	assert.Assert(t, in > 10 && in < 60, "%d in the cell", in)
+	n.takeDaemons(n.now, gone)
+	n.now += fewerWait / 2
+	n.fitCells(n.now)
+	assert.Equal(t, n.fleet.cells.Count(), 4)
+	n.takeDaemons(n.now, items)
+	n.now += fewerWait
+	n.fitCells(n.now)
+	assert.Equal(t, n.fleet.cells.Count(), 4)
+	n.takeDaemons(n.now, gone)
+	n.now += fewerWait
+	n.fitCells(n.now)
+	assert.Equal(t, n.fleet.cells.Count(), 1)
+	// Titles of another cell are its own business while its daemons are there.
+	n.takeDaemons(n.now, items)
+	for i := range uint64(120) {
+		p := peer(i + 2)
+		n.shouldRemove(n.now, "title", p.Process)
+		n.now += 2 * minorityWait
+		if remove, _ := n.shouldRemove(n.now, "title", p.Process); !n.fleet.inCell(p.Address) {
+			assert.Assert(t, !remove)
+		}
+	}
+}
+
 // Only jobs whose owners have no title are adopted, and this daemon's own that it has
 // forgotten by losing its title in between.
 func TestWhichJobsAreAdopted(t *testing.T) {
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -114,7 +114,7 @@
 	if n.closing.Load() {
 		return refused(coordinator.ReasonStopping, time.Second)
 	}
-	if n.documents.lost(now) {
+	if n.storeAway(now) {
 		return refused(coordinator.ReasonNoStore, time.Second)
 	}
 	j := coordinator.Job{
@@ -129,6 +129,13 @@
 	return n.wait(r.ID, false), Acceptance{}
 }
 
+// storeAway reports whether the store is known not to answer. Silence alone doesn't show
+// it: this process may have stood still itself, and would refuse what the store can take.
+// The lock is held.
+func (n *Node) storeAway(now time.Duration) bool {
+	return n.documents.lost(now) && n.fleet.outage > n.documents.answered
+}
+
 // useLedger notes that jobs are kept in this fleet. The lock is held.
 func (n *Node) useLedger() {
 	if !n.keeper.used {
@@ -222,7 +229,7 @@
 	if n.config.StoreWrites <= 0 {
 		return 0
 	}
-	members := float64(len(n.fleet.up) + 1)
+	members := float64(max(len(n.fleet.up), len(n.fleet.daemons)) + 1)
 	return time.Duration(members / (n.config.StoreWrites * writeShare) * float64(time.Second))
 }
 
@@ -396,7 +403,8 @@
 			count += int(p.pending[route])
 		}
 	}
-	return count
+	// Those of other cells are taken to have as many.
+	return count * n.fleet.cells.Count()
 }
 
 // ownPending counts this daemon's kept jobs that have not begun, by queue. The lock is held.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -78,7 +78,7 @@
 	n := (*Node)(h)
 	for _, text := range pulse.GetPeers() {
 		if a, err := netip.ParseAddrPort(text); err == nil && a != n.self.Address {
-			n.mesh.Know(a)
+			n.mesh.Know(a) // of another cell it is not linked
 		}
 	}
 	n.mu.Lock()
