--- a/internal/node/heirs.go
+++ b/internal/node/heirs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,8 @@
 	// removeAfter is how long an owner has to be out of sight before its title is removed:
 	// it may be seen by the others, and removing costs its jobs a pause.
 	removeAfter = 1 * time.Second
+	// sweepEvery is the time between looks for states that daemons which are gone left.
+	sweepEvery = 10 * time.Minute
 	// titleAge is how old the proof may be, while peers are out of sight, that this daemon's
 	// own title stands. With the time for a stop and a lease it is less than the time that
 	// an heir waits before it starts a task again.
@@ -45,6 +48,7 @@
 	// scan asks for a look at all records.
 	scan      bool
 	scannedAt time.Duration
+	sweptAt   time.Duration
 	wake      chan struct{}
 }
 
@@ -69,6 +73,7 @@
 func (n *Node) inherit() {
 	for n.ctx.Err() == nil {
 		pause := n.lookAtTitles()
+		n.sweepStates()
 		select {
 		case <-n.ctx.Done():
 		case <-n.keeper.heirs.wake:
@@ -158,6 +163,34 @@
 	return nil
 }
 
+// sweepStates removes states of jobs that ended long ago and whose writers are gone; one
+// daemon does it for all.
+func (n *Node) sweepStates() {
+	n.mu.Lock()
+	now, h := n.clock.now(), &n.keeper.heirs
+	due := n.keeper.used && now-h.sweptAt >= sweepEvery && ledger.Heir("states", n.fleet.processes(n.self)) == n.self.Process
+	if due {
+		h.sweptAt = now
+	}
+	n.mu.Unlock()
+	if !due {
+		return
+	}
+	states, err := n.platform.Ledger.List(n.ctx, ledger.StateEntry)
+	if err != nil {
+		n.titlesFailed(err)
+		return
+	}
+	old := ledger.Outlived(states, time.Now().Add(-2*(n.config.Retention+stateMargin)))
+	for part := range slices.Chunk(old, ledger.MaxRows) {
+		if _, err := n.platform.Ledger.Write(n.ctx, ledger.Change{Remove: part}); err != nil {
+			n.titlesFailed(err)
+			return
+		}
+	}
+	n.log.WithFields(logrus.Fields{"event": "states_swept", "states": len(states), "removed": len(old)}).Info()
+}
+
 // removeTitles removes the titles of owners that are gone, where this daemon is the one to
 // do it, and reports whether there is more to come soon.
 func (n *Node) removeTitles(titles []ledger.Entry) (again bool) {
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -458,7 +458,7 @@
 		}
 		return CanceledNow, true
 	}
-	r, err := n.platform.Ledger.Write(ctx, ledger.Cancellation(id, record.Revision))
+	r, err := n.platform.Ledger.Write(ctx, ledger.Cancellation(id, record.Revision, time.Now()))
 	if err != nil || r.Revision == 0 {
 		return 0, false
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxRows is how many rows the store takes in one change.
-	maxRows = 32
+	// MaxRows is how many rows the store takes in one change.
+	MaxRows = 32
 	// progressDelay is how long progress waits for more of the same job: its tasks end
 	// within moments of each other, and each write is paid for. Until it is stored, the
 	// workers' ends are not acknowledged, which costs nothing but a longer list.
@@ -27,6 +27,9 @@
 	Title string
 	// Retention is how long the state of an ended job stays.
 	Retention time.Duration
+	// Now is the time of day, by which states of daemons that are gone are removed.
+	// Default time.Now.
+	Now func() time.Time
 }
 
 // NewsKind is what became of a job in the store.
@@ -113,7 +116,12 @@
 }
 
 // New returns an empty ledger.
-func New(c Config) *Ledger { return &Ledger{config: c, jobs: make(map[string]*entry)} }
+func New(c Config) *Ledger {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return &Ledger{config: c, jobs: make(map[string]*entry)}
+}
 
 // Title returns the key of this process's title.
 func (l *Ledger) Title() Key { return Key{TitleEntry, l.config.Title} }
@@ -238,16 +246,16 @@
 	switch e.phase {
 	case adding:
 		c.Require = []Entry{{Key: state}}
-		c.Set = []Entry{{Key: record, Value: e.record.Encode()}, {Key: state, Value: EncodeState(Queued, l.config.Owner)}}
+		c.Set = []Entry{{Key: record, Value: e.record.Encode()}, {Key: state, Value: EncodeState(Queued, l.config.Owner, time.Time{})}}
 	case ending:
 		c.Require = []Entry{{Key: record, Revision: e.revision}}
 		c.Remove = []Key{record}
-		c.Set = []Entry{{Key: state, Value: EncodeState(e.end, l.config.Owner)}}
+		c.Set = []Entry{{Key: state, Value: EncodeState(e.end, l.config.Owner, l.config.Now())}}
 	default:
 		c.Require = []Entry{{Key: record, Revision: e.revision}}
 		c.Set = []Entry{{Key: record, Value: e.record.Encode()}}
 	}
-	if b.Change.Size()+c.Size() > maxRows {
+	if b.Change.Size()+c.Size() > MaxRows {
 		return false
 	}
 	b.Change.Require = append(b.Change.Require, c.Require...)
@@ -261,7 +269,7 @@
 // expire adds the removal of old states where nothing else is to be written with them.
 func (l *Ledger) expire(now time.Duration, b *Batch) {
 	for _, x := range l.ended {
-		if len(b.parts) > 0 || x.at > now || b.Change.Size() >= maxRows {
+		if len(b.parts) > 0 || x.at > now || b.Change.Size() >= MaxRows {
 			return
 		}
 		b.Change.Remove = append(b.Change.Remove, Key{StateEntry, x.id})
@@ -435,10 +443,10 @@
 
 // Cancellation returns the change that cancels a job of whichever owner, whose record is
 // at the given revision.
-func Cancellation(id string, revision int64) Change {
+func Cancellation(id string, revision int64, at time.Time) Change {
 	return Change{
 		Require: []Entry{{Key: Key{RecordEntry, id}, Revision: revision}},
 		Remove:  []Key{{RecordEntry, id}},
-		Set:     []Entry{{Key: Key{StateEntry, id}, Value: EncodeState(Canceled, 0)}},
+		Set:     []Entry{{Key: Key{StateEntry, id}, Value: EncodeState(Canceled, 0, at)}},
 	}
 }
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -104,9 +104,25 @@
 	return r, nil
 }
 
-// EncodeState returns a state as it is stored.
-func EncodeState(s State, owner uint64) []byte {
-	return encode(&schema.KeptState{State: uint32(s), Owner: owner})
+// EncodeState returns a state as it is stored, and for a final one the time.
+func EncodeState(s State, owner uint64, at time.Time) []byte {
+	k := &schema.KeptState{State: uint32(s), Owner: owner}
+	if s.Final() {
+		k.EndedS = at.Unix()
+	}
+	return encode(k)
+}
+
+// Outlived returns the keys of states of jobs that had ended before a time. Daemons remove
+// the states that they wrote themselves; these are left by daemons that are gone.
+func Outlived(states []Entry, before time.Time) (keys []Key) {
+	for _, e := range states {
+		var k schema.KeptState
+		if err := proto.Unmarshal(e.Value, &k); err == nil && k.GetEndedS() > 0 && k.GetEndedS() < before.Unix() {
+			keys = append(keys, e.Key)
+		}
+	}
+	return keys
 }
 
 // DecodeState decodes what EncodeState returned.
