--- a/internal/node/heirs.go
+++ b/internal/node/heirs.go
@@ -299,7 +299,7 @@
 // this daemon a proof, as the peer may have lost sight of it too. A refused connection is
 // no exception: a partition may refuse.
 func (n *Node) ownerLost(now time.Duration, p mesh.Peer) {
-	n.forgetStates(p.Incarnation)
+	n.keeper.states.forgetOwner(p.Incarnation)
 	n.keeper.title.doubtUntil = now + doubtTime
 	n.keeper.heirs.scan = true
 	if n.keeper.used {
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -25,25 +25,19 @@
 	maxWrites = 4
 	// writePause is the pause after a write that failed.
 	writePause = 100 * time.Millisecond
+	// resendTime is the time after which callers that lost an answer have long sent their
+	// job again: the platform names 1.3 s.
+	resendTime = 5 * time.Second
 	// stateMargin is added to the time for which ended jobs are asked for.
 	stateMargin = 30 * time.Second
-	// maxStates bounds the states that are remembered; others are read from the store.
-	maxStates = 20000
 )
 
-// knownState is a job's state as its owner told it.
-type knownState struct {
-	state ledger.State
-	owner uint64
-	at    time.Duration
-}
-
 // keeper is the daemon's part in keeping jobs. Guarded by the node's lock.
 type keeper struct {
 	ledger *ledger.Ledger
 	// callers wait for the store's word on their jobs.
 	callers map[string][]*caller
-	states  map[string]knownState
+	states  states
 	// writes counts those under way; next is when another may go.
 	writes int
 	next   time.Duration
@@ -68,7 +62,7 @@
 		ledger: ledger.New(ledger.Config{
 			Owner: self.Incarnation, Title: fmt.Sprintf("%s-%x", self.Name, self.Incarnation), Retention: retention + stateMargin,
 		}),
-		callers: make(map[string][]*caller), states: make(map[string]knownState), heirs: newHeirs(),
+		callers: make(map[string][]*caller), states: newStates(), heirs: newHeirs(),
 		title: titleCheck{wake: make(chan struct{}, 1)},
 	}
 }
@@ -83,11 +77,37 @@
 	if c != nil {
 		a = acceptance(n.await(ctx, r.ID, c))
 	}
+	if a.Verdict == NotAccepted {
+		a = n.confirmRefusal(ctx, r.ID, a)
+	}
 	n.metrics.kept(a.Verdict, a.Reason)
 	n.logAcceptance(r, a)
 	return a
 }
 
+// confirmRefusal makes sure that a job which this daemon won't take was not accepted by
+// another: the caller may have lost that one's answer, and would be told that the job
+// never runs. Owners tell each other what they have stored, so only a peer that was just
+// lost can have kept that to itself; without its word and the store's nothing is certain.
+func (n *Node) confirmRefusal(ctx context.Context, id string, refusal Acceptance) Acceptance {
+	e, err := n.platform.Ledger.Get(ctx, ledger.Key{Kind: ledger.StateEntry, ID: id})
+	switch {
+	case err == nil && e.Revision > 0:
+		return Acceptance{Verdict: Accepted}
+	case err == nil || !n.lostPeerLately():
+		return refusal
+	default:
+		return Acceptance{Verdict: Uncertain, Reason: refusal.Reason}
+	}
+}
+
+// lostPeerLately reports whether a peer was lost within resendTime.
+func (n *Node) lostPeerLately() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.clock.now() < n.keeper.title.doubtUntil-doubtTime+resendTime
+}
+
 func acceptance(k ledger.NewsKind) Acceptance {
 	switch k {
 	case ledger.Stored, ledger.Duplicate, ledger.Ended, ledger.Adopted:
@@ -102,7 +122,7 @@
 // keepJob hands a new job to the ledger, or tells what is so at once. The lock is held.
 func (n *Node) keepJob(now time.Duration, r Request) (*caller, Acceptance) {
 	k := &n.keeper
-	if _, known := k.states[r.ID]; known || k.ledger.Accepted(r.ID) {
+	if k.states.get(r.ID) != 0 || k.ledger.Accepted(r.ID) {
 		return nil, Acceptance{Verdict: Accepted}
 	}
 	if k.ledger.Has(r.ID) {
@@ -271,7 +291,7 @@
 		state := n.learnOne(now, id, x)
 		n.answerCallers(id, x.Kind)
 		if state != 0 {
-			n.remember(id, knownState{state, n.self.Incarnation, now})
+			n.keeper.states.put(id, knownState{state, n.self.Incarnation, now}, n.config.Retention)
 			told = append(told, &schema.JobState{Job: id, State: uint32(state)})
 		}
 	}
@@ -310,7 +330,7 @@
 		return x.State
 	case ledger.Lost:
 		n.coordinator.Disown(id)
-		delete(n.keeper.states, id)
+		n.keeper.states.remove(id)
 	}
 	return 0
 }
@@ -328,24 +348,12 @@
 	return make([]coordinator.Progress, tasks)
 }
 
-func (n *Node) remember(id string, s knownState) {
-	k := &n.keeper
-	if len(k.states) >= maxStates {
-		for old, o := range k.states {
-			if s.at-o.at > n.config.Retention || len(k.states) >= maxStates {
-				delete(k.states, old)
-			}
-		}
-	}
-	k.states[id] = s
-}
-
 // told takes what a peer has stored.
 func (n *Node) told(now time.Duration, p mesh.Peer, states []*schema.JobState) {
 	n.useLedger()
 	for _, s := range states {
 		state := ledger.State(s.GetState())
-		n.remember(s.GetJob(), knownState{state, p.Incarnation, now})
+		n.keeper.states.put(s.GetJob(), knownState{state, p.Incarnation, now}, n.config.Retention)
 		if state == ledger.Canceled && n.keeper.ledger.Has(s.GetJob()) {
 			n.coordinator.Cancel(now, s.GetJob())
 			n.keeper.ledger.End(now, s.GetJob(), state)
@@ -353,16 +361,6 @@
 	}
 }
 
-// forgetStates drops what a peer told of jobs that had not ended: it can't tell their
-// ends any more. The store is asked then.
-func (n *Node) forgetStates(owner uint64) {
-	for id, s := range n.keeper.states {
-		if s.owner == owner && !s.state.Final() {
-			delete(n.keeper.states, id)
-		}
-	}
-}
-
 // State implements Dispatcher.
 func (n *Node) State(ctx context.Context, id string) (ledger.State, error) {
 	n.mu.Lock()
@@ -390,7 +388,7 @@
 	if n.keeper.ledger.Has(id) {
 		return ledger.Queued
 	}
-	return n.keeper.states[id].state
+	return n.keeper.states.get(id)
 }
 
 // Pending implements Dispatcher.
--- /dev/null
+++ b/internal/node/kept_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/ledger"
+	"github.com/lavendercleat/lavendercleat/routing"
+)
+
+// oneState is a store that knows of one job, or doesn't answer.
+type oneState struct {
+	ledger.Store
+	known string
+	err   error
+}
+
+func (s oneState) Get(_ context.Context, k ledger.Key) (ledger.Entry, error) {
+	if k.Kind == ledger.StateEntry && k.ID == s.known {
+		return ledger.Entry{Key: k, Value: ledger.EncodeState(ledger.Queued, 9, time.Time{}), Revision: 3}, s.err
+	}
+	return ledger.Entry{Key: k}, s.err
+}
+
+// A caller has lost the answer of a daemon that accepted its job, and sends it again to
+// one that is about to stop and takes none. "Not accepted" would be untrue.
+func TestRefusalIsConfirmed(t *testing.T) {
+	n := newIdle(t)
+	n.closing.Store(true)
+	ask := func(id string) AcceptanceVerdict {
+		return n.Keep(context.Background(), Request{
+			ID: id, Route: &routing.Route{Name: "r", Service: "s"}, Steps: []coordinator.Step{{Count: 1}}, Patience: time.Second,
+		}).Verdict
+	}
+	n.platform.Ledger = oneState{known: "accepted"}
+	assert.Equal(t, ask("accepted"), Accepted)
+	assert.Equal(t, ask("new"), NotAccepted)
+	n.platform.Ledger = oneState{err: ledger.ErrUnknown}
+	assert.Equal(t, ask("new"), NotAccepted, "all owners have told what they stored")
+	n.ownerLost(n.clock.now(), peer(3))
+	assert.Equal(t, ask("new"), Uncertain, "but one that is lost may not have")
+}
