--- a/executor/executor.go
+++ b/executor/executor.go
@@ -157,6 +157,7 @@
 				e.discard(now, w, r)
 			}
 		}
+		e.ownerOfEndsLost(now, w, owner)
 		if w.waiting != nil {
 			delete(w.waiting, owner)
 			e.settleClaims(now, w)
--- a/executor/kept.go
+++ b/executor/kept.go
@@ -34,15 +34,35 @@
 	late bool
 	// lookedUp: its job was found not to have ended.
 	lookedUp bool
+	// settled: it may be acknowledged.
+	settled bool
+	// found: it was listed at a takeover, and its coordinator is not known.
+	found bool
+	// owner is its coordinator, lostAt when that was lost; 0: it is there.
+	owner  member.Process
+	lostAt time.Duration
 }
 
+// JobState is what the store shows of a job whose end is held.
+type JobState uint8
+
+// States of jobs whose ends are held.
+const (
+	// JobNotKept: the store knows of no such job.
+	JobNotKept JobState = iota
+	// JobOpen: it has not ended.
+	JobOpen
+	// JobEnded: it has.
+	JobEnded
+)
+
 // holdEnd holds the end of a kept run back.
 func (e *Executor) holdEnd(now time.Duration, w *worker, r *run, f Ended) {
 	switch {
 	case r.task == nil:
 		e.holdFound(now, w, f)
 	case r.task.Kept && !r.discard && (f.Done || f.Failed):
-		w.unsettled[f.Number] = heldEnd{RunningTask: f.RunningTask, lookUpAt: now + settleWait}
+		w.unsettled[f.Number] = heldEnd{RunningTask: f.RunningTask, lookUpAt: now + settleWait, owner: r.owner, lostAt: r.orphanedAt}
 	}
 }
 
@@ -50,7 +70,7 @@
 // its job is kept, so that is looked up at once.
 func (e *Executor) holdFound(now time.Duration, w *worker, f Ended) {
 	if f.Done || f.Failed {
-		w.unsettled[f.Number] = heldEnd{RunningTask: f.RunningTask, lookUpAt: now}
+		w.unsettled[f.Number] = heldEnd{RunningTask: f.RunningTask, lookUpAt: now, found: true}
 	}
 }
 
@@ -108,16 +128,43 @@
 	}
 }
 
-// Resolve settles ends of jobs that are not kept, or have ended. Active are the kept jobs
-// that had not, at some time after asked.
-func (e *Executor) Resolve(now, asked time.Duration, active func(job string) bool) {
+// Resolve settles ends of jobs that are not kept, and of those that have ended with the end
+// in mind: its coordinator was there all the time. State tells what the store showed of a
+// job at some time after asked.
+func (e *Executor) Resolve(now, asked time.Duration, state func(job string) JobState) {
 	for _, w := range e.order {
-		e.settle(now, w, func(h heldEnd) bool { return h.lookUpAt <= asked && !h.late && !active(h.ID.Job) })
 		for n, h := range w.unsettled {
-			if h.lookUpAt <= asked {
-				h.lookUpAt, h.late, h.lookedUp = now+settleWait, h.late || h.lookedUp, true
-				w.unsettled[n] = h
+			if h.lookUpAt > asked || h.late {
+				continue
 			}
+			s := state(h.ID.Job)
+			h.late = s == JobEnded && h.found || s == JobOpen && h.lookedUp
+			h.settled = s != JobOpen && !h.late
+			h.lookUpAt, h.lookedUp = now+settleWait, true
+			w.unsettled[n] = h
+		}
+		e.settle(now, w, func(h heldEnd) bool { return h.settled })
+	}
+}
+
+// ownerOfEndsLost notes that the coordinator of held ends is out of sight. When that lasts,
+// another may look after the job and start the tasks again: the ends are late then.
+func (e *Executor) ownerOfEndsLost(now time.Duration, w *worker, owner member.Process) {
+	for n, h := range w.unsettled {
+		if h.owner == owner && h.lostAt == 0 {
+			h.lostAt = now
+			w.unsettled[n] = h
+		}
+	}
+}
+
+// ageEnds marks ends as late whose coordinator is out of sight for OrphanWait. A task is
+// started again two seconds after that at the earliest.
+func (w *worker) ageEnds(now time.Duration) {
+	for n, h := range w.unsettled {
+		if h.lostAt > 0 && now-h.lostAt >= OrphanWait && !h.late {
+			h.late = true
+			w.unsettled[n] = h
 		}
 	}
 }
@@ -125,6 +172,7 @@
 // lapseIdle lets the lease of a worker with late ends lapse: it gets no new runs, and when
 // nothing runs there any more and the last lease is over, the ends are acknowledged.
 func (e *Executor) lapseIdle(now time.Duration, w *worker) {
+	w.ageEnds(now)
 	if w.lapsing() && len(w.runs) == 0 && (w.clock.ms > w.granted || now >= w.lapsedBy()) {
 		e.event("lease_let_lapse", w, nil, fmt.Sprintf("ends=%d", len(w.unsettled)))
 		e.settle(now, w, func(h heldEnd) bool { return h.late })
@@ -145,9 +193,8 @@
 func (e *Executor) askUnsettled(now time.Duration) {
 	for _, w := range e.order {
 		for _, h := range w.unsettled {
-			if now >= h.lookUpAt {
-				e.out.Unsettled = true
-				return
+			if now >= h.lookUpAt && !h.late {
+				e.out.Unsettled = append(e.out.Unsettled, h.ID.Job)
 			}
 		}
 	}
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -146,8 +146,8 @@
 	Events    []Event
 	// Dropped are workers that have left; nothing is ordered of them any more.
 	Dropped []string
-	// Unsettled asks for the kept jobs that have not ended, for Resolve.
-	Unsettled bool
+	// Unsettled lists jobs whose ends are held and whose state is asked for, by Resolve.
+	Unsettled []string
 }
 
 // Event is a decision or a changed belief, for the log.
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/executor"
 	"github.com/lavendercleat/lavendercleat/internal/mesh"
 	"github.com/lavendercleat/lavendercleat/ledger"
 	"github.com/lavendercleat/lavendercleat/schema"
@@ -466,24 +467,21 @@
 	return CanceledNow, true
 }
 
-// lookUpEnds asks the store which kept jobs have not ended, so that ends of others may be
-// acknowledged. The lock is held.
-func (n *Node) lookUpEnds(now time.Duration) {
+// lookUpEnds asks the store for the state of jobs whose ends are held, so that those of
+// jobs that are not kept, or have ended, may be acknowledged. The lock is held.
+func (n *Node) lookUpEnds(now time.Duration, jobs []string) {
 	k := &n.keeper
 	if k.looking || now < k.lookedUp+writePause {
 		return
 	}
 	k.looking, k.lookedUp = true, now
+	used := k.used
 	n.wg.Go(func() {
-		records, err := n.platform.Ledger.List(n.ctx, ledger.RecordEntry)
-		active := make(map[string]bool, len(records))
-		for _, r := range records {
-			active[r.ID] = true
-		}
+		states, err := n.jobStates(jobs, used)
 		n.do(func(later time.Duration) {
 			k.looking = false
 			if err == nil {
-				n.executor.Resolve(later, now, func(job string) bool { return active[job] })
+				n.executor.Resolve(later, now, func(job string) executor.JobState { return states[job] })
 			}
 		})
 		if err != nil && n.ctx.Err() == nil {
@@ -492,6 +490,36 @@
 	})
 }
 
+// jobStates reads which jobs have not ended by one list, and which others are kept one by
+// one, unless no jobs are kept at all.
+func (n *Node) jobStates(jobs []string, used bool) (map[string]executor.JobState, error) {
+	records, err := n.platform.Ledger.List(n.ctx, ledger.RecordEntry)
+	if err != nil {
+		return nil, err
+	}
+	states := make(map[string]executor.JobState, len(records)+len(jobs))
+	for _, r := range records {
+		states[r.ID] = executor.JobOpen
+	}
+	if !used && len(records) == 0 {
+		return states, nil
+	}
+	for _, job := range jobs {
+		if _, known := states[job]; known {
+			continue
+		}
+		e, err := n.platform.Ledger.Get(n.ctx, ledger.Key{Kind: ledger.StateEntry, ID: job})
+		if err != nil {
+			return nil, err
+		}
+		states[job] = executor.JobNotKept
+		if e.Revision > 0 {
+			states[job] = executor.JobEnded
+		}
+	}
+	return states, nil
+}
+
 func (n *Node) logNews(id string, x ledger.News) {
 	fields := logrus.Fields{"event": "job_" + x.Kind.String(), "job": id, "route": x.Record.Route}
 	if x.State != 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,8 +245,8 @@
 	for _, t := range e.Takeovers {
 		n.askOwners(now, t)
 	}
-	if e.Unsettled {
-		n.lookUpEnds(now)
+	if len(e.Unsettled) > 0 {
+		n.lookUpEnds(now, e.Unsettled)
 	}
 	return len(c.Messages)+len(e.Reports)+len(e.Takeovers)+len(e.Calls) > 0
 }
