--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -118,6 +118,20 @@
 	}
 }
 
+// Reset ends the sessions of all links: what was sent in them and is still on its way is
+// dropped on both sides.
+func (m *Mesh) Reset() {
+	m.mu.Lock()
+	links := make([]*link, 0, len(m.links))
+	for _, l := range m.links {
+		links = append(links, l)
+	}
+	m.mu.Unlock()
+	for _, l := range links {
+		l.lose(false)
+	}
+}
+
 // Restrict links only daemons for which linked is true from now on. Links to others end,
 // as if their processes were gone.
 func (m *Mesh) Restrict(linked func(netip.AddrPort) bool) {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -210,3 +210,15 @@
 	a.Know(b.self.Address)
 	eventually(t, "linked again", func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
 }
+
+// One end stood still and begins all links anew: frames from before are not delivered
+// after that, on either side, and new ones are.
+func TestReset(t *testing.T) {
+	a, b, _, _ := linked(t)
+	a.Reset()
+	eventually(t, "lost", func() bool { return a.count("lost gone=false") == 1 && b.count("lost gone=false") == 1 })
+	eventually(t, "linked again", func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
+	a.sendTo(b.self, 7)
+	b.sendTo(a.self, 8)
+	eventually(t, "delivered", func() bool { return len(a.received()) == 1 && len(b.received()) == 1 })
+}
--- a/internal/node/heirs.go
+++ b/internal/node/heirs.go
@@ -310,7 +310,11 @@
 
 // noticeGap finds out that this process has stood still. The lock is held.
 func (n *Node) noticeGap(now time.Duration) {
-	if n.lastDo > 0 && now-n.lastDo > gapTime {
+	gap := now - n.lastDo
+	if n.lastDo > 0 && gap > staleAfter {
+		n.loseAllPeers(now, gap)
+	}
+	if n.lastDo > 0 && gap > gapTime {
 		t := &n.keeper.title
 		t.doubtUntil, t.provedAt, t.gapAt = now+doubtTime, now, now
 		n.coordinator.Hold(now, n.keeper.ledger.Len() > 0)
--- a/internal/node/heirs_test.go
+++ b/internal/node/heirs_test.go
@@ -19,6 +19,7 @@
 	"github.com/lavendercleat/lavendercleat/registry"
 	"github.com/lavendercleat/lavendercleat/routing"
 	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/task"
 )
 
 // idle is a daemon that was never started, and the time that its tests let pass.
@@ -89,6 +90,33 @@
 	assert.Equal(t, relinquished(n.pass(200*time.Millisecond)), 1)
 }
 
+// A daemon is frozen for seconds. What a peer offered before waits here and on the link;
+// the peer has started it elsewhere meanwhile. On waking it must not start here too, until
+// the peer is linked anew.
+func TestOffersFromBeforeAFreezeAreDropped(t *testing.T) {
+	n := newIdle(t)
+	clock := n.clock.now
+	p := peer(2)
+	h := (*peerHandler)(n.Node)
+	h.PeerUp(p)
+	offer := func(job string) {
+		h.Received(p, &schema.Frame{Body: &schema.Frame_Offer{Offer: &schema.Offer{Tasks: tasksToWire(0, []task.Task{
+			{ID: task.ID{Job: job}, Run: 1, Service: "s", StartBy: time.Hour},
+		})}}})
+	}
+	waiting := func() int { _, w := n.executor.Load(); return w }
+	n.executor.SetWorkers(clock(), []executor.WorkerInfo{{ID: "w", Service: "s"}})
+	offer("before")
+	assert.Equal(t, waiting(), 1)
+	n.clock.suspended.Add(int64(3 * time.Second)) // it stood still
+	offer("on the link")
+	offer("on the link too")
+	assert.Equal(t, waiting(), 0)
+	h.PeerUp(p)
+	offer("after")
+	assert.Equal(t, waiting(), 1)
+}
+
 // While the proofs come, nothing is taken back.
 func TestProvedTitle(t *testing.T) {
 	n := newIdle(t)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -17,6 +17,37 @@
 	farDomain  = 2
 )
 
+// staleAfter is how long this process may stand still before its peers may have given it
+// up: they wait for mesh.LostAfter from a heartbeat that is two intervals old at most.
+const staleAfter = mesh.LostAfter - 200*time.Millisecond
+
+// loseAllPeers acts on having stood still for so long that peers have given this daemon
+// up: they start elsewhere what they have offered to it. What they sent before waits in
+// this process and on its connections, and would be started here seconds later beside it.
+// All of it is dropped, and the links begin anew. The lock is held.
+func (n *Node) loseAllPeers(now, gap time.Duration) {
+	n.log.WithFields(logrus.Fields{"event": "stood_still", "for": gap}).Warn()
+	for _, k := range n.fleet.up {
+		if !k.up {
+			continue
+		}
+		n.fleet.peerLost(now, k.Peer, false)
+		n.coordinator.HolderLost(now, k.Process)
+		n.executor.OwnerLost(now, k.Process)
+		n.ownerLost(now, k.Peer)
+	}
+	n.wg.Go(n.mesh.Reset)
+}
+
+// from does f for a frame of a peer, unless the peer is lost meanwhile.
+func (n *Node) from(p mesh.Peer, f func(now time.Duration)) {
+	n.do(func(now time.Duration) {
+		if n.fleet.isUp(p) {
+			f(now)
+		}
+	})
+}
+
 // peerHandler is the node as the mesh sees it.
 type peerHandler Node
 
@@ -103,11 +134,14 @@
 // Received implements mesh.Handler.
 func (h *peerHandler) Received(p mesh.Peer, f *schema.Frame) {
 	n := (*Node)(h)
+	if f.GetOffer() != nil || f.GetClaims() != nil {
+		n.clock.sync() // frames that were on their way during a suspension are old
+	}
 	switch b := f.GetBody().(type) {
 	case *schema.Frame_Offer:
-		n.do(func(now time.Duration) { n.executor.Offer(now, p.Process, tasksFromWire(now, b.Offer.GetTasks())) })
+		n.from(p, func(now time.Duration) { n.executor.Offer(now, p.Process, tasksFromWire(now, b.Offer.GetTasks())) })
 	case *schema.Frame_Withdrawal:
-		n.do(func(now time.Duration) {
+		n.from(p, func(now time.Duration) {
 			ids := idsFromWire(b.Withdrawal.GetTasks())
 			if b.Withdrawal.GetHoldEnds() {
 				n.executor.Relinquish(now, p.Process, ids)
@@ -116,7 +150,7 @@
 			n.executor.Withdraw(now, p.Process, ids)
 		})
 	case *schema.Frame_Settlement:
-		n.do(func(now time.Duration) {
+		n.from(p, func(now time.Duration) {
 			runs := settledFromWire(b.Settlement.GetRuns())
 			if b.Settlement.GetLapseFirst() {
 				n.executor.Disregard(runs)
@@ -125,19 +159,19 @@
 			n.executor.Settle(now, runs)
 		})
 	case *schema.Frame_Recall:
-		n.do(func(now time.Duration) { n.executor.Recall(now, p.Process, b.Recall.GetJobs()) })
+		n.from(p, func(now time.Duration) { n.executor.Recall(now, p.Process, b.Recall.GetJobs()) })
 	case *schema.Frame_JobStates:
-		n.do(func(now time.Duration) { n.told(now, p, b.JobStates.GetStates()) })
+		n.from(p, func(now time.Duration) { n.told(now, p, b.JobStates.GetStates()) })
 	case *schema.Frame_Reports:
-		n.do(func(now time.Duration) {
+		n.from(p, func(now time.Duration) {
 			for _, r := range b.Reports.GetReports() {
 				n.coordinator.Reported(now, p.Process, reportFromWire(r))
 			}
 		})
 	case *schema.Frame_Takeover:
-		n.do(func(now time.Duration) { n.coordinator.TakenOver(now, p.Process, takeoverFromWire(b.Takeover)) })
+		n.from(p, func(now time.Duration) { n.coordinator.TakenOver(now, p.Process, takeoverFromWire(b.Takeover)) })
 	case *schema.Frame_Claims:
-		n.do(func(now time.Duration) {
+		n.from(p, func(now time.Duration) {
 			n.executor.Claimed(now, executor.Claims{
 				Owner: p.Process, Worker: b.Claims.GetWorker(), Tasks: tasksFromWire(now, b.Claims.GetTasks()),
 			})
