--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -122,21 +122,30 @@
 // refusal decides whether a job can't be served. While there is room for its first
 // tasks it is never refused.
 func (c *Coordinator) refusal(now time.Duration, j *job) (Reason, time.Duration) {
-	var worst time.Duration
+	worst, ok := c.wait(j)
+	if !ok {
+		return ReasonNoWorkers, minRetryAfter
+	}
+	if slack := max(j.due-now-longestChain(j.Steps), 0); worst > slack {
+		return ReasonNoRoom, max(worst-slack, minRetryAfter)
+	}
+	return "", 0
+}
+
+// wait is the longest time for which one of the job's first tasks has to wait for room; ok
+// is false when there is a task that no worker may run.
+func (c *Coordinator) wait(j *job) (worst time.Duration, ok bool) {
 	for _, t := range j.tasks {
 		if !j.ready(t.ID.Step) {
 			continue
 		}
 		h, wait := c.rooms.queue(&t.Task)
 		if h == nil {
-			return ReasonNoWorkers, minRetryAfter
+			return 0, false
 		}
 		worst = max(worst, wait)
 	}
-	if slack := max(j.due-now-longestChain(j.Steps), 0); worst > slack {
-		return ReasonNoRoom, max(worst-slack, minRetryAfter)
-	}
-	return "", 0
+	return worst, true
 }
 
 // release offers the tasks whose turn has come.
--- a/coordinator/kept.go
+++ b/coordinator/kept.go
@@ -63,12 +63,13 @@
 // come back.
 func (c *Coordinator) Refusal(now time.Duration, j Job) (Reason, time.Duration) {
 	n := newJob(now, j)
-	reason, after := c.refusal(now, n)
+	wait, ok := c.wait(n)
+	patience := keptPatience * (n.due - now)
 	switch {
-	case reason == ReasonNoWorkers && c.rooms.serves(j.Service):
-		return reason, after // there are workers, but none that may run it
-	case reason == ReasonNoRoom && after > keptPatience*(n.due-now):
-		return reason, after
+	case !ok && c.rooms.serves(j.Service):
+		return ReasonNoWorkers, minRetryAfter // there are workers, but none that may run it
+	case wait > patience:
+		return ReasonNoRoom, max(wait-patience, minRetryAfter)
 	default:
 		return "", 0
 	}
--- a/coordinator/kept_test.go
+++ b/coordinator/kept_test.go
@@ -82,6 +82,9 @@
 	reason, _ = r.c.Refusal(r.now, keptJob("a", 400))
 	assert.Equal(t, reason, Reason("")) // its own work is no backlog
 	h := r.c.rooms.get(peerB)
+	h.Backlog = map[string]int64{"quotes": 1500} // 375 ms for four at a time
+	reason, _ = r.c.Refusal(r.now, keptJob("a", 1))
+	assert.Equal(t, reason, Reason(""), "late, but worth something still")
 	h.Backlog = map[string]int64{"quotes": 100_000}
 	reason, after := r.c.Refusal(r.now, keptJob("a", 1))
 	assert.Equal(t, reason, ReasonNoRoom)
--- a/executor/kept.go
+++ b/executor/kept.go
@@ -17,6 +17,11 @@
 	// unsettledPace is the time between polls of a worker that lists ends which may not be
 	// acknowledged yet: it doesn't hold such a poll back until something ends.
 	unsettledPace = 25 * time.Millisecond
+	// endWait is how long an end is held as usual after its coordinator is lost: within
+	// this time an heir has adopted the job and recalled it, and no coordinator starts the
+	// task again; that one waits for 3.2 s from when it lost sight of this executor, which
+	// may be a second earlier.
+	endWait = 1900 * time.Millisecond
 	// settleWait is how long an end may wait to be settled before it is looked up whether
 	// its job has ended meanwhile.
 	settleWait = 2 * time.Second
@@ -158,11 +163,10 @@
 	}
 }
 
-// ageEnds marks ends as late whose coordinator is out of sight for OrphanWait. A task is
-// started again two seconds after that at the earliest.
+// ageEnds marks ends as late whose coordinator is out of sight for endWait.
 func (w *worker) ageEnds(now time.Duration) {
 	for n, h := range w.unsettled {
-		if h.lostAt > 0 && now-h.lostAt >= OrphanWait && !h.late {
+		if h.lostAt > 0 && now-h.lostAt >= endWait && !h.late {
 			h.late = true
 			w.unsettled[n] = h
 		}
@@ -236,9 +240,13 @@
 			t.Running = append(t.Running, task.RunningTask{ID: r.id, Run: r.num})
 			known = known || asked(r.id)
 		}
-		for _, h := range w.unsettled {
+		for n, h := range w.unsettled {
 			t.Ended = append(t.Ended, h.RunningTask)
-			known = known || asked(h.ID)
+			if asked(h.ID) {
+				known = true
+				h.owner, h.lostAt = by, 0
+				w.unsettled[n] = h
+			}
 		}
 		if known {
 			e.event("runs_recalled", w, nil, fmt.Sprintf("by=%s running=%d ended=%d", by.Address, len(t.Running), len(t.Ended)))
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -70,6 +70,8 @@
 
 // Keep implements Dispatcher.
 func (n *Node) Keep(ctx context.Context, r Request) Acceptance {
+	ctx, end := n.whileServing(ctx)
+	defer end()
 	ctx, cancel := context.WithTimeout(ctx, r.Patience)
 	defer cancel()
 	var c *caller
@@ -364,6 +366,8 @@
 
 // State implements Dispatcher.
 func (n *Node) State(ctx context.Context, id string) (ledger.State, error) {
+	ctx, end := n.whileServing(ctx)
+	defer end()
 	n.mu.Lock()
 	state := n.stateHere(id)
 	n.mu.Unlock()
@@ -419,6 +423,8 @@
 
 // Cancel implements Dispatcher.
 func (n *Node) Cancel(ctx context.Context, id string) Cancellation {
+	ctx, end := n.whileServing(ctx)
+	defer end()
 	var here bool
 	var c *caller
 	n.do(func(now time.Duration) {
--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -26,6 +26,33 @@
 	return ledger.Entry{Key: k}, s.err
 }
 
+// silent is a store that answers nothing.
+type silent struct{ ledger.Store }
+
+func (silent) Get(ctx context.Context, _ ledger.Key) (ledger.Entry, error) {
+	<-ctx.Done()
+	return ledger.Entry{}, ledger.ErrUnknown
+}
+
+// The daemon stops while the store is silent: callers that ask for a job or cancel one are
+// answered then, and don't hold the stop up until their own patience ends.
+func TestStopAnswersCallersOfTheStore(t *testing.T) {
+	n := newIdle(t)
+	n.serving, n.endService = context.WithCancel(context.Background())
+	n.platform.Ledger = silent{}
+	done := make(chan error, 2)
+	go func() { _, err := n.State(context.Background(), "a"); done <- err }()
+	go func() { n.Cancel(context.Background(), "a"); done <- nil }()
+	n.endService()
+	for range 2 {
+		select {
+		case <-done:
+		case <-time.After(5 * time.Second):
+			t.Fatal("a caller still waits")
+		}
+	}
+}
+
 // A caller has lost the answer of a daemon that accepted its job, and sends it again to
 // one that is about to stop and takes none. "Not accepted" would be untrue.
 func TestRefusalIsConfirmed(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	// serving ends when callers that still wait have to be answered, at a planned stop.
+	serving    context.Context
+	endService context.CancelFunc
 
 	table    atomic.Pointer[routing.Table]
 	stopping atomic.Bool
@@ -94,6 +97,7 @@
 		return nil, err
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.serving, n.endService = context.WithCancel(context.Background())
 	return n, nil
 }
 
@@ -134,10 +138,20 @@
 	n.closing.Store(true)
 	n.drain(ctx)
 	n.resign(ctx)
+	n.endService()
+}
+
+// whileServing returns a caller's context that ends with the service too: a call to a
+// silent store would hold the stop up beyond its time.
+func (n *Node) whileServing(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(n.serving, cancel)
+	return ctx, func() { stop(); cancel() }
 }
 
 // Close ends the daemon.
 func (n *Node) Close() {
+	n.endService()
 	n.cancel()
 	n.mesh.Close()
 	n.wg.Wait()
--- a/test/leased/soak_test.go
+++ b/test/leased/soak_test.go
@@ -23,6 +23,8 @@
 	soakCallers = 5
 	// soakKeepers hand in jobs that are to be kept.
 	soakKeepers = 2
+	// keptPause leaves room for the other jobs.
+	keptPause = 300 * time.Millisecond
 	// soakTasks is more than one daemon's workers have room for, so that tasks run for
 	// other daemons' callers.
 	soakTasks   = 5
@@ -77,6 +79,7 @@
 	wg.Go(func() { k.cancels(ctx) })
 	wg.Go(func() { k.watchConfiguration(ctx) })
 	kept := newKeeper(s)
+	kept.pause = keptPause
 	wg.Go(func() { kept.load(length, soakKeepers, 2) })
 	out := s.load(ctx, soakCallers, soakTasks)
 	wg.Wait()
