--- a/internal/node/heirs.go
+++ b/internal/node/heirs.go
@@ -25,6 +25,9 @@
 	removeAfter = 1 * time.Second
 	// sweepEvery is the time between looks for states that daemons which are gone left.
 	sweepEvery = 10 * time.Minute
+	// resignTimeout bounds the removal of the own title at a planned stop: the platform kills
+	// a process that takes longer than its grace time, and without it heirs only come later.
+	resignTimeout = 250 * time.Millisecond
 	// titleAge is how old the proof may be, while peers are out of sight, that this daemon's
 	// own title stands. With the time for a stop and a lease it is less than the time that
 	// an heir waits before it starts a task again.
@@ -396,6 +399,8 @@
 // resign removes this daemon's title at a planned stop, so that heirs go on with what it
 // leaves at once.
 func (n *Node) resign(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
 	n.mu.Lock()
 	key, revision, left := n.keeper.ledger.Title(), n.keeper.ledger.TitleRevision(), n.keeper.ledger.Len()
 	n.mu.Unlock()
--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -53,6 +53,25 @@
 	}
 }
 
+// A job comes on an open connection when a stopping daemon has answered its last jobs: it
+// is refused, as not run, and not cut off with the process.
+func TestJobAfterTheEndOfService(t *testing.T) {
+	n := newIdle(t)
+	r := Request{ID: "a", Route: &routing.Route{Name: "r", Service: "s"}, Steps: []coordinator.Step{{Count: 1}}, Patience: time.Minute}
+	answers := make(chan coordinator.Answer, 1)
+	go func() { answers <- n.Run(context.Background(), r) }()
+	for n.jobs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	n.endService()
+	n.answerAll()
+	assert.Equal(t, (<-answers).Reason, coordinator.ReasonStopping)
+	r.ID = "b"
+	a := n.Run(context.Background(), r)
+	assert.Equal(t, a.Status, coordinator.Refused)
+	assert.Equal(t, a.Reason, coordinator.ReasonStopping)
+}
+
 // A caller has lost the answer of a daemon that accepted its job, and sends it again to
 // one that is about to stop and takes none. "Not accepted" would be untrue.
 func TestRefusalIsConfirmed(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,6 +139,7 @@
 	n.drain(ctx)
 	n.resign(ctx)
 	n.endService()
+	n.answerAll()
 }
 
 // whileServing returns a caller's context that ends with the service too: a call to a
@@ -165,7 +166,11 @@
 	for ctx.Err() == nil && n.jobs() > 0 {
 		sleep(ctx, tickEvery)
 	}
-	// A caller whose job is too long for the grace time gets an answer all the same.
+}
+
+// answerAll ends what callers still wait for: a job that is too long for the grace time
+// gets an answer all the same. Jobs that come later are refused.
+func (n *Node) answerAll() {
 	n.do(func(now time.Duration) {
 		for id := range n.waiters {
 			n.coordinator.Cancel(now, id)
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -26,6 +26,9 @@
 // Run implements Dispatcher.
 func (n *Node) Run(ctx context.Context, r Request) coordinator.Answer {
 	w := n.join(r)
+	if w == nil {
+		return coordinator.Answer{Job: r.ID, Status: coordinator.Refused, Reason: coordinator.ReasonStopping, RetryAfter: time.Second}
+	}
 	select {
 	case <-w.done:
 	case <-ctx.Done():
@@ -34,7 +37,8 @@
 	return w.answer
 }
 
-// join returns the job's waiter; a new job is submitted.
+// join returns the job's waiter; a new job is submitted. After the end of the service there
+// is none: whoever waited then would be cut off with the process.
 func (n *Node) join(r Request) *waiter {
 	var w *waiter
 	n.do(func(now time.Duration) {
@@ -42,6 +46,9 @@
 			w.callers++
 			return
 		}
+		if n.serving.Err() != nil {
+			return
+		}
 		w = &waiter{id: r.ID, callerID: r.CallerID, route: r.Route.Name, done: make(chan struct{}), callers: 1}
 		n.waiters[r.ID] = w
 		n.logArrival(w, r)
