--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -29,6 +29,9 @@
 	// resendTime is the time after which callers that lost an answer have long sent their
 	// job again: the platform names 1.3 s.
 	resendTime = 5 * time.Second
+	// confirmTimeout bounds the look at the store before a refusal, which is to be told at
+	// once; the store answers within some milliseconds.
+	confirmTimeout = 100 * time.Millisecond
 	// stateMargin is added to the time for which ended jobs are asked for.
 	stateMargin = 30 * time.Second
 )
@@ -93,15 +96,21 @@
 // never runs. Owners tell each other what they have stored, so only a peer that was just
 // lost can have kept that to itself; without its word and the store's nothing is certain.
 func (n *Node) confirmRefusal(ctx context.Context, id string, refusal Acceptance) Acceptance {
-	e, err := n.platform.Ledger.Get(ctx, ledger.Key{Kind: ledger.StateEntry, ID: id})
-	switch {
-	case err == nil && e.Revision > 0:
-		return Acceptance{Verdict: Accepted}
-	case err == nil || !n.lostPeerLately():
-		return refusal
-	default:
+	if refusal.Reason != coordinator.ReasonNoStore { // that one would only make the caller wait
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		e, err := n.platform.Ledger.Get(ctx, ledger.Key{Kind: ledger.StateEntry, ID: id})
+		switch {
+		case err == nil && e.Revision > 0:
+			return Acceptance{Verdict: Accepted}
+		case err == nil:
+			return refusal
+		}
+	}
+	if n.lostPeerLately() {
 		return Acceptance{Verdict: Uncertain, Reason: refusal.Reason}
 	}
+	return refusal
 }
 
 // lostPeerLately reports whether a peer was lost within resendTime.
--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -89,4 +89,8 @@
 	assert.Equal(t, ask("new"), NotAccepted, "all owners have told what they stored")
 	n.ownerLost(n.clock.now(), peer(3))
 	assert.Equal(t, ask("new"), Uncertain, "but one that is lost may not have")
+	n.platform.Ledger = silent{}
+	began := time.Now()
+	assert.Equal(t, ask("new"), Uncertain)
+	assert.Assert(t, time.Since(began) < 5*confirmTimeout, "a refusal is told at once")
 }
