--- /dev/null
+++ b/ledger/example_test.go
@@ -0,0 +1,25 @@
+package ledger_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/ledger"
+)
+
+// A job is added, written under the owner's title, and accepted when the store says so.
+func Example() {
+	l := ledger.New(ledger.Config{Owner: 1, Title: "daemon-1", Retention: 2 * time.Minute})
+	l.Titled(7) // the title was written at revision 7
+
+	l.Add(0, ledger.Record{Route: "quotes", Job: coordinator.Job{ID: "a", Kept: true, Steps: []coordinator.Step{{Count: 1}}}})
+	batch, _ := l.Next(0)
+	fmt.Println(len(batch.Change.Require), "conditions,", len(batch.Change.Set), "entries")
+
+	news, fenced := l.Written(0, batch, ledger.Result{Revision: 8})
+	fmt.Println(news[0].Kind, fenced, l.Accepted("a"))
+	// Output:
+	// 2 conditions, 2 entries
+	// stored false true
+}
