--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -212,8 +212,8 @@
 type Batch struct {
 	Change Change
 	parts  []part
-	// expired is how many states the batch removes.
-	expired int
+	// expired lists the states that the batch removes.
+	expired []expiry
 }
 
 // Next returns the next batch to write; false when there is none now.
@@ -236,7 +236,7 @@
 	clear(l.queue[len(rest):])
 	l.queue = rest
 	l.expire(now, &b)
-	return b, len(b.parts)+b.expired > 0
+	return b, len(b.parts)+len(b.expired) > 0
 }
 
 // put adds a job's write to a batch, if it fits.
@@ -266,24 +266,29 @@
 	return true
 }
 
-// expire adds the removal of old states where nothing else is to be written with them.
+// expire adds the removal of old states where nothing else is to be written with them. They
+// are the batch's until it fails: batches are written side by side.
 func (l *Ledger) expire(now time.Duration, b *Batch) {
-	for _, x := range l.ended {
+	for len(l.ended) > 0 {
+		x := l.ended[0]
 		if len(b.parts) > 0 || x.at > now || b.Change.Size() >= MaxRows {
 			return
 		}
 		b.Change.Remove = append(b.Change.Remove, Key{StateEntry, x.id})
-		b.expired++
+		b.expired = append(b.expired, x)
+		l.ended = l.ended[1:]
 	}
 }
 
+// takeBack keeps the states of a failed batch for a later one.
+func (l *Ledger) takeBack(b Batch) { l.ended = append(slices.Clone(b.expired), l.ended...) }
+
 // Written takes the store's answer to a batch. fenced tells that the title is gone: the
 // jobs are others' from now on, and the ledger is empty.
 func (l *Ledger) Written(now time.Duration, b Batch, r Result) (news []News, fenced bool) {
 	if r.Revision == 0 {
 		return l.refused(now, b, r.Current)
 	}
-	l.ended = l.ended[b.expired:]
 	for _, p := range b.parts {
 		if e := l.jobs[p.id]; e != nil && e.inFlight {
 			news = append(news, l.written(now, p, e, r.Revision)...)
@@ -327,6 +332,7 @@
 // Unanswered takes back a batch that got no answer: it is written again, until the store
 // has said what is so.
 func (l *Ledger) Unanswered(now time.Duration, b Batch) (news []News) {
+	l.takeBack(b)
 	for _, p := range b.parts {
 		e := l.jobs[p.id]
 		if e == nil {
@@ -345,6 +351,7 @@
 // NotDone takes back a batch that the store refused to look at. New jobs that were
 // never on their way are rejected.
 func (l *Ledger) NotDone(now time.Duration, b Batch) (news []News) {
+	l.takeBack(b)
 	for _, p := range b.parts {
 		e := l.jobs[p.id]
 		switch {
@@ -369,6 +376,7 @@
 
 // refused finds out which condition did not hold.
 func (l *Ledger) refused(now time.Duration, b Batch, current []Entry) (news []News, fenced bool) {
+	l.takeBack(b)
 	at := make(map[Key]Entry, len(current))
 	for _, c := range current {
 		at[c.Key] = c
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -435,3 +435,28 @@
 		assert.Equal(s.t, s.m.state(id), end, "seed %d: job %s", s.seed, id)
 	}
 }
+
+// Several writes are under way while states have outlived their time. Each state is in one
+// of them, and one whose write failed is removed by a later one.
+func TestRemovalsOfWritesSideBySide(t *testing.T) {
+	m := newMemory()
+	l := titled(m, 1)
+	for _, id := range []string{"a", "b"} {
+		l.Add(0, record(id))
+		step(t, l, m, 0)
+		l.End(0, id, Completed)
+		step(t, l, m, 0)
+	}
+	late := 2 * time.Minute
+	first, ok := l.Next(late)
+	assert.Assert(t, ok)
+	_, again := l.Next(late)
+	assert.Assert(t, !again, "the same states are being removed")
+	l.Unanswered(late, first)
+	second, ok := l.Next(late)
+	assert.Assert(t, ok)
+	l.Written(late, second, m.write(second.Change))
+	assert.Equal(t, len(m.entries), 1) // the title
+	_, ok = l.Next(late)
+	assert.Assert(t, !ok)
+}
