--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -5,27 +5,14 @@
 	"fmt"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lavendercleat/lavendercleat/coordinator"
-	"github.com/lavendercleat/lavendercleat/executor"
 	"github.com/lavendercleat/lavendercleat/internal/mesh"
 	"github.com/lavendercleat/lavendercleat/ledger"
-	"github.com/lavendercleat/lavendercleat/schema"
 )
 
 const (
-	// writeShare is the part of the store's writes that kept jobs may take; the rest is for
-	// the daemons' entries and for takeovers.
-	writeShare = 0.75
-	// writeBurst is how many writes may go at once after a pause.
-	writeBurst = 4
-	// maxWrites bounds the writes under way: with a slow store more are needed for the same
-	// number of jobs, and they are of different jobs, so they don't disturb each other.
-	maxWrites = 4
-	// writePause is the pause after a write that failed.
-	writePause = 100 * time.Millisecond
 	// resendTime is the time after which callers that lost an answer have long sent their
 	// job again: the platform names 1.3 s.
 	resendTime = 5 * time.Second
@@ -222,157 +209,6 @@
 	n.keeper.callers[id] = rest
 }
 
-// progressed hands the progress of a kept job to the ledger.
-func (n *Node) progressed(now time.Duration, id string) {
-	version, tasks := n.coordinator.Version(id)
-	if tasks == nil {
-		return // its answer ends it
-	}
-	n.keeper.ledger.Progress(now, id, version, tasks)
-}
-
-// endKept hands the end of a kept job to the ledger.
-func (n *Node) endKept(now time.Duration, a coordinator.Answer) {
-	state := ledger.Completed
-	if a.Status != coordinator.Completed {
-		state = ledger.Failed
-	}
-	n.keeper.ledger.End(now, a.Job, state)
-}
-
-// flush starts the writes that are due. The lock is held.
-func (n *Node) flush(now time.Duration) {
-	k := &n.keeper
-	gap := n.writeGap()
-	for k.writes < maxWrites && now >= k.next-writeBurst*gap {
-		b, ok := k.ledger.Next(now)
-		if !ok {
-			return
-		}
-		k.next = max(k.next, now) + gap
-		k.writes++
-		n.wg.Go(func() { n.write(b) })
-	}
-}
-
-// writeGap is the mean time between writes that this daemon may make: its share of what
-// the store takes.
-func (n *Node) writeGap() time.Duration {
-	if n.config.StoreWrites <= 0 {
-		return 0
-	}
-	members := float64(max(len(n.fleet.up), len(n.fleet.daemons)) + 1)
-	return time.Duration(members / (n.config.StoreWrites * writeShare) * float64(time.Second))
-}
-
-// write makes one write and takes its outcome.
-func (n *Node) write(b ledger.Batch) {
-	r, err := n.platform.Ledger.Write(n.ctx, b.Change)
-	if err != nil && n.ctx.Err() == nil {
-		n.storeFailed("write", err)
-	}
-	n.do(func(now time.Duration) {
-		k := &n.keeper
-		k.writes--
-		var news []ledger.News
-		var fenced bool
-		switch {
-		case err == nil:
-			news, fenced = k.ledger.Written(now, b, r)
-		case errors.Is(err, ledger.ErrNotDone):
-			news = k.ledger.NotDone(now, b)
-		default:
-			news = k.ledger.Unanswered(now, b)
-		}
-		if err != nil {
-			k.next = max(k.next, now) + writePause + writeBurst*n.writeGap()
-		}
-		if fenced {
-			n.fenced(now)
-		}
-		n.learn(now, news)
-	})
-}
-
-// learn acts on what became of jobs in the store, and tells peers. The lock is held.
-func (n *Node) learn(now time.Duration, news []ledger.News) {
-	var told []*schema.JobState
-	for _, x := range news {
-		id := x.Record.Job.ID
-		n.metrics.ledgerNews(x.Kind)
-		state := n.learnOne(now, id, x)
-		n.answerCallers(id, x.Kind)
-		if state != 0 {
-			n.keeper.states.put(id, knownState{state, n.self.Incarnation, now}, n.config.Retention)
-			told = append(told, &schema.JobState{Job: id, State: uint32(state)})
-		}
-	}
-	if len(told) == 0 {
-		return
-	}
-	for _, p := range n.mesh.Peers() {
-		n.mesh.Send(p.Process, &schema.Frame{Body: &schema.Frame_JobStates{JobStates: &schema.JobStates{States: told}}})
-	}
-}
-
-// learnOne acts on the news of one job and returns the state that it is in by it; 0 when
-// that is not certain or nothing new.
-func (n *Node) learnOne(now time.Duration, id string, x ledger.News) ledger.State {
-	if x.Kind != ledger.Persisted {
-		n.logNews(id, x)
-	}
-	switch x.Kind {
-	case ledger.Stored, ledger.Adopted:
-		if x.State != 0 {
-			return 0 // canceled on its way; its end is stored next
-		}
-		j := x.Record.Job
-		if x.Kind == ledger.Adopted {
-			j.Progress = inherited(x.Record)
-		}
-		n.coordinator.Submit(now, j)
-		return ledger.Queued
-	case ledger.Persisted:
-		n.coordinator.Persisted(id, x.Version, false)
-	case ledger.Ended:
-		if x.State == ledger.Canceled {
-			n.coordinator.Cancel(now, id)
-		}
-		n.coordinator.Persisted(id, x.Version, true)
-		return x.State
-	case ledger.Lost:
-		n.coordinator.Disown(id)
-		n.keeper.states.remove(id)
-	}
-	return 0
-}
-
-// inherited is the progress of an adopted job. Where nothing was stored, tasks may have
-// been started all the same.
-func inherited(r ledger.Record) []coordinator.Progress {
-	if len(r.Tasks) > 0 {
-		return r.Tasks
-	}
-	tasks := 0
-	for _, s := range r.Job.Steps {
-		tasks += s.Count
-	}
-	return make([]coordinator.Progress, tasks)
-}
-
-// told takes what a peer has stored.
-func (n *Node) told(now time.Duration, p mesh.Peer, states []*schema.JobState) {
-	n.useLedger()
-	for _, s := range states {
-		state := ledger.State(s.GetState())
-		n.keeper.states.put(s.GetJob(), knownState{state, p.Incarnation, now}, n.config.Retention)
-		if state == ledger.Canceled && n.keeper.ledger.Has(s.GetJob()) {
-			n.coordinator.Cancel(now, s.GetJob())
-			n.keeper.ledger.End(now, s.GetJob(), state)
-		}
-	}
-}
-
 // State implements Dispatcher.
 func (n *Node) State(ctx context.Context, id string) (ledger.State, error) {
 	ctx, end := n.whileServing(ctx)
@@ -482,67 +318,6 @@
 	return CanceledNow, true
 }
 
-// lookUpEnds asks the store for the state of jobs whose ends are held, so that those of
-// jobs that are not kept, or have ended, may be acknowledged. The lock is held.
-func (n *Node) lookUpEnds(now time.Duration, jobs []string) {
-	k := &n.keeper
-	if k.looking || now < k.lookedUp+writePause {
-		return
-	}
-	k.looking, k.lookedUp = true, now
-	used := k.used
-	n.wg.Go(func() {
-		states, err := n.jobStates(jobs, used)
-		n.do(func(later time.Duration) {
-			k.looking = false
-			if err == nil {
-				n.executor.Resolve(later, now, func(job string) executor.JobState { return states[job] })
-			}
-		})
-		if err != nil && n.ctx.Err() == nil {
-			n.storeFailed("list", err)
-		}
-	})
-}
-
-// jobStates reads which jobs have not ended by one list, and which others are kept one by
-// one, unless no jobs are kept at all.
-func (n *Node) jobStates(jobs []string, used bool) (map[string]executor.JobState, error) {
-	records, err := n.platform.Ledger.List(n.ctx, ledger.RecordEntry)
-	if err != nil {
-		return nil, err
-	}
-	states := make(map[string]executor.JobState, len(records)+len(jobs))
-	for _, r := range records {
-		states[r.ID] = executor.JobOpen
-	}
-	if !used && len(records) == 0 {
-		return states, nil
-	}
-	for _, job := range jobs {
-		if _, known := states[job]; known {
-			continue
-		}
-		e, err := n.platform.Ledger.Get(n.ctx, ledger.Key{Kind: ledger.StateEntry, ID: job})
-		if err != nil {
-			return nil, err
-		}
-		states[job] = executor.JobNotKept
-		if e.Revision > 0 {
-			states[job] = executor.JobEnded
-		}
-	}
-	return states, nil
-}
-
-func (n *Node) logNews(id string, x ledger.News) {
-	fields := logrus.Fields{"event": "job_" + x.Kind.String(), "job": id, "route": x.Record.Route}
-	if x.State != 0 {
-		fields["state"] = x.State
-	}
-	n.log.WithFields(fields).Info()
-}
-
 func (n *Node) logAcceptance(r Request, a Acceptance) {
 	fields := logrus.Fields{"event": "job_accepted", "job": r.ID, "request": r.CallerID, "route": r.Route.Name, "verdict": a.Verdict}
 	if a.Verdict == Accepted {
