--- a/executor/polls.go
+++ b/executor/polls.go
@@ -7,7 +7,9 @@
 
 // poll sends the standing poll of a worker. After some polls without an answer the lease
 // is no longer extended: if the worker runs on unseen, its runs end with the lease, and
-// only then are they safe to start elsewhere.
+// only then are they safe to start elsewhere. Nor is it extended while a run is unclaimed:
+// its coordinator may be at the earlier holder's side of a partition, where the run counts
+// as over with the leases that the earlier holder granted.
 func (e *Executor) poll(now time.Duration, w *worker) {
 	w.polling = true
 	c := Call{Kind: CallPoll, Acknowledge: w.acknowledged(), Wait: idleWait}
@@ -16,7 +18,7 @@
 		if w.overdue(now) {
 			c.Wait = overdueWait
 		}
-		if at, ok := w.now(now); ok && w.silent < lapsingSilence {
+		if at, ok := w.now(now); ok && w.silent < lapsingSilence && !w.unclaimed() {
 			c.Deadline = at + e.config.Lease.Milliseconds()
 		}
 	}
--- a/executor/takeover_test.go
+++ b/executor/takeover_test.go
@@ -56,6 +56,38 @@
 	assert.Assert(t, r.e.Rooms(r.now)[0].Open)
 }
 
+// Two daemons lose sight of each other. One takes a worker over from the other, which can't
+// reach the worker any more and counts its run as over when the leases that it granted have
+// passed. Were the new holder to extend the worker's lease meanwhile, for a run whose
+// coordinator it can't ask, that run would go on beside its second start.
+func TestUnclaimedRunIsNotExtended(t *testing.T) {
+	r := newRig(t)
+	mine := testTask("j", 0)
+	mine.Run = 3
+	takeOver(r, mine.ID)
+	c := r.take(CallPoll, "w1")
+	assert.Equal(t, c.Deadline, int64(0), "nobody has claimed the run yet")
+	r.e.Claimed(r.now, Claims{Owner: ownerA, Worker: "w1"})
+	r.answer(c, Answer{Verdict: OK, Running: listing(mine.ID, 3)})
+	c = r.take(CallPoll, "w1")
+	assert.Equal(t, c.Deadline, int64(0))
+	r.pass(claimWait + 50*time.Millisecond)
+	assert.Equal(t, r.take(CallStop, "w1").ID, mine.ID)
+	r.answer(c, Answer{Verdict: OK, Running: listing(mine.ID, 3)})
+	assert.Equal(t, r.take(CallPoll, "w1").Deadline, int64(0), "the stop may be lost while polls pass")
+}
+
+// A run that its coordinator has claimed is extended from then on.
+func TestClaimedRunIsExtended(t *testing.T) {
+	r := newRig(t)
+	mine := testTask("j", 0)
+	mine.Run = 3
+	takeOver(r, mine.ID)
+	r.e.Claimed(r.now, Claims{Owner: ownerA, Worker: "w1", Tasks: []task.Task{mine}})
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Running: listing(mine.ID, 3)})
+	assert.Assert(t, r.take(CallPoll, "w1").Deadline > 0)
+}
+
 // A coordinator that doesn't answer doesn't keep the worker closed for ever.
 func TestClaimsEnd(t *testing.T) {
 	r := newRig(t)
