--- /dev/null
+++ b/coordinator/admission.go
@@ -0,0 +1,95 @@
+package coordinator
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// excessGain is the weight of one observed wait. The larger it is, the sooner a burst is
+	// answered by refusals, and the more a single slow worker brings about: 0.1 to 0.3 made no
+	// difference of more than 0.01 of the credit at 110% load, 0.03 at 140%.
+	excessGain = 0.2
+	// excessMemory is the time in which the excess falls to a third without observations. A
+	// fleet that refuses most jobs observes little, and has to try again soon.
+	excessMemory = 500 * time.Millisecond
+	// maxExcess bounds one observation: a task may wait seconds for a worker that has died.
+	maxExcess = 300 * time.Millisecond
+)
+
+// excess is by how much tasks that find no room wait longer than is foreseen from what
+// executors told of their backlogs. What they told is up to a heartbeat old, and does not
+// show slow workers. In overload all coordinators would go on taking jobs that end too late
+// to be of use, and late jobs take the room of others. The zero value is ready for use.
+type excess struct {
+	mean time.Duration
+	at   time.Duration
+}
+
+func (e *excess) now(now time.Duration) time.Duration {
+	return time.Duration(float64(e.mean) * math.Exp(-float64(now-e.at)/float64(excessMemory)))
+}
+
+func (e *excess) observe(now, foreseen, waited time.Duration) {
+	mean := e.now(now)
+	mean += time.Duration(excessGain * float64(min(waited-foreseen, maxExcess)-mean))
+	e.mean, e.at = max(mean, 0), now
+}
+
+// refusal decides whether a job can't be served in time. While there is room for its first
+// tasks it is never refused.
+func (c *Coordinator) refusal(now time.Duration, j *job) (Reason, time.Duration) {
+	worst, ok := c.wait(now, j)
+	if !ok {
+		return ReasonNoWorkers, minRetryAfter
+	}
+	if worst > 0 {
+		worst += c.excess.now(now)
+	}
+	if slack := max(j.due-now-longestChain(j.Steps), 0); worst > slack {
+		return ReasonNoRoom, max(worst-slack, minRetryAfter)
+	}
+	return "", 0
+}
+
+// wideShare is the part of a service's room above which a step counts as wide: it can't
+// run at once, and its own work is no reason to refuse it.
+const wideShare = 4
+
+// wait is the longest time for which one of the job's first tasks has to wait for room; ok
+// is false when there is a task that no worker may run. The job's other tasks count as work
+// before it, unless the job is kept or wide.
+func (c *Coordinator) wait(now time.Duration, j *job) (worst time.Duration, ok bool) {
+	plan := c.rooms.clone()
+	for _, t := range j.tasks {
+		if !j.ready(t.ID.Step) || !j.Kept && plan.take(&t.Task) != nil {
+			continue
+		}
+		wait, copies := plan.wait(now, &t.Task)
+		if copies == 0 {
+			return 0, false
+		}
+		if !j.Kept && j.Steps[t.ID.Step].Count <= copies/wideShare {
+			plan.queue(now, &t.Task).charge(now, &t.Task)
+		}
+		worst = max(worst, wait)
+	}
+	return worst, true
+}
+
+// noteWait notes when a task was offered first, and how long it was to wait.
+func (c *Coordinator) noteWait(now time.Duration, t *jobTask, hasRoom bool) {
+	if t.offers == 0 {
+		t.offeredAt = now
+		t.foreseen, _ = c.rooms.wait(now, &t.Task)
+	}
+	t.waiting, t.reclaiming = !hasRoom, false
+}
+
+// beganToRun compares the wait of a task that found no room with what was foreseen.
+func (c *Coordinator) beganToRun(now time.Duration, t *jobTask) {
+	if t.waiting {
+		c.excess.observe(now, t.foreseen, now-t.offeredAt)
+	}
+	t.waiting = false
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -20,6 +20,9 @@
 	successionMemory = 2 * time.Second
 	// maxOffers bounds the tries to place one task.
 	maxOffers = 12
+	// maxRoomOffers is how often a task is offered to executors that told of room for it, one
+	// after the other, before it waits at one of them. Each costs a round trip of 2 ms.
+	maxRoomOffers = 4
 	// maxPark bounds the wait of a job for any worker at all; a quarter of its time does too.
 	maxPark = 700 * time.Millisecond
 	// minRetryAfter is the least time after which a refused caller is told to come back.
@@ -35,6 +38,8 @@
 	Withdraw []task.ID
 	// Claims answers a takeover.
 	Claims *executor.Claims
+	// Reclaim asks for tasks that still wait: each is reported as not run.
+	Reclaim []task.ID
 	// Relinquish takes tasks of kept jobs back, but ends are held until they are settled.
 	Relinquish []task.ID
 	// Settle lists ends that are stored.
@@ -69,6 +74,8 @@
 	histories map[string]*history
 	// held: tasks of kept jobs are not offered, as this daemon may have lost its title to them.
 	held bool
+	// excess is by how much tasks wait longer than was foreseen.
+	excess excess
 }
 
 // New returns a coordinator of the given process.
@@ -119,35 +126,6 @@
 	}
 }
 
-// refusal decides whether a job can't be served. While there is room for its first
-// tasks it is never refused.
-func (c *Coordinator) refusal(now time.Duration, j *job) (Reason, time.Duration) {
-	worst, ok := c.wait(j)
-	if !ok {
-		return ReasonNoWorkers, minRetryAfter
-	}
-	if slack := max(j.due-now-longestChain(j.Steps), 0); worst > slack {
-		return ReasonNoRoom, max(worst-slack, minRetryAfter)
-	}
-	return "", 0
-}
-
-// wait is the longest time for which one of the job's first tasks has to wait for room; ok
-// is false when there is a task that no worker may run.
-func (c *Coordinator) wait(j *job) (worst time.Duration, ok bool) {
-	for _, t := range j.tasks {
-		if !j.ready(t.ID.Step) {
-			continue
-		}
-		h, wait := c.rooms.queue(&t.Task)
-		if h == nil {
-			return 0, false
-		}
-		worst = max(worst, wait)
-	}
-	return worst, true
-}
-
 // release offers the tasks whose turn has come.
 func (c *Coordinator) release(now time.Duration, j *job) {
 	for _, t := range j.tasks {
@@ -172,8 +150,8 @@
 	h := c.rooms.take(&t.Task)
 	hasRoom := h != nil
 	if h == nil {
-		if h, _ = c.rooms.queue(&t.Task); h != nil {
-			h.charge(&t.Task)
+		if h = c.rooms.queue(now, &t.Task); h != nil {
+			h.charge(now, &t.Task)
 		}
 	}
 	switch {
@@ -187,8 +165,10 @@
 		c.giveUp(now, j, ReasonNoRoom)
 		return
 	}
+	c.noteWait(now, t, hasRoom)
 	t.Run++
 	t.offers++
+	t.OnlyNow = hasRoom && t.offers <= maxRoomOffers && !j.Kept
 	t.adopted = false
 	t.state, t.holder, t.worker = offered, h.Process, ""
 	c.out.Events = append(c.out.Events, executor.Event{
@@ -223,6 +203,7 @@
 	case task.Started:
 		c.begun(j)
 		j.mayHaveRun, t.worker = true, r.Worker
+		c.beganToRun(now, t)
 	case task.Done:
 		c.taskDone(now, j, t)
 	case task.Failed:
@@ -281,9 +262,12 @@
 		c.giveUp(now, j, ReasonNoRoom)
 		return
 	}
-	if r.Reason == executor.ReasonNoWorker {
-		if h := c.rooms.get(t.holder); h != nil {
+	if h := c.rooms.get(t.holder); h != nil {
+		switch r.Reason {
+		case executor.ReasonNoWorker:
 			h.Rooms = nil
+		case executor.ReasonTaken:
+			h.full(&t.Task)
 		}
 	}
 	c.event("task_offered_again", t, r.Reason)
@@ -335,6 +319,7 @@
 			}
 		}
 	}
+	c.rebalance()
 }
 
 // sorted returns the jobs in a repeatable order.
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -115,6 +115,10 @@
 	state  taskState
 	holder member.Process
 	worker string
+	// waiting: it was offered without room for it; reclaiming: it was asked for back.
+	waiting, reclaiming bool
+	// offeredAt is when it was first offered, foreseen how long it was to wait then.
+	offeredAt, foreseen time.Duration
 	// failures counts runs that failed, offers all tries.
 	failures, offers int
 	failedRuns       []uint32
--- a/coordinator/kept.go
+++ b/coordinator/kept.go
@@ -63,7 +63,7 @@
 // come back.
 func (c *Coordinator) Refusal(now time.Duration, j Job) (Reason, time.Duration) {
 	n := newJob(now, j)
-	wait, ok := c.wait(n)
+	wait, ok := c.wait(now, n)
 	patience := keptPatience * (n.due - now)
 	switch {
 	case !ok && c.rooms.serves(j.Service):
--- /dev/null
+++ b/coordinator/rebalance.go
@@ -0,0 +1,47 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// maxMoves is how many offers a task may have had and still be asked back: what moves on
+// and on would reach the bound of its offers.
+const maxMoves = maxOffers / 2
+
+// rebalance asks for tasks back that wait at one executor while another one has room: the
+// executor reports them as not run, and they are offered again. Without it a task stays
+// where the shortest wait was expected when it came, and at 70% load one in four tasks that
+// waited did so while there was room elsewhere.
+func (c *Coordinator) rebalance() {
+	var waiting []*jobTask
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.state == offered && t.waiting && !t.reclaiming && !j.Kept && t.offers < maxMoves {
+				waiting = append(waiting, t)
+			}
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *jobTask) int {
+		return cmp.Or(cmp.Compare(a.Due-a.Expected, b.Due-b.Expected), cmp.Compare(a.ID.String(), b.ID.String()))
+	})
+	for _, t := range waiting {
+		if h := c.rooms.take(&t.Task); h != nil && h.Process != t.holder {
+			t.reclaiming = true
+			c.reclaim(t)
+		}
+	}
+}
+
+// reclaim asks an executor for a task, in one message with others.
+func (c *Coordinator) reclaim(t *jobTask) {
+	for i := range c.out.Messages {
+		if m := &c.out.Messages[i]; m.To == t.holder && m.Reclaim != nil {
+			m.Reclaim = append(m.Reclaim, t.ID)
+			return
+		}
+	}
+	c.out.Messages = append(c.out.Messages, Message{To: t.holder, Reclaim: []task.ID{t.ID}})
+}
--- /dev/null
+++ b/coordinator/rebalance_test.go
@@ -0,0 +1,167 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// reclaimed returns how many tasks an executor was asked for since the last call.
+func (r *rig) reclaimed(p member.Process) (n int) {
+	r.drain()
+	rest := r.messages[:0]
+	for _, m := range r.messages {
+		if m.To == p && m.Reclaim != nil {
+			n += len(m.Reclaim)
+			continue
+		}
+		rest = append(rest, m)
+	}
+	r.messages = rest
+	return n
+}
+
+func (r *rig) notRun(p member.Process, t task.Task, reason string) {
+	r.c.Reported(r.now, p, task.Report{ID: t.ID, Run: t.Run, Outcome: task.NotRun, Reason: reason})
+}
+
+// Two coordinators were told of the same room, and the other one took it. The task goes to
+// the next executor with room, and no more to the first until its next heartbeat.
+func TestTakenRoomIsNotTriedAgain(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w1", 2)
+	r.holder(peerC, 2, "w2", 2)
+	r.c.Submit(r.now, testJob("j", 1))
+	first := r.offers(peerB)[0]
+	assert.Assert(t, first.OnlyNow)
+	r.notRun(peerB, first, executor.ReasonTaken)
+	assert.Equal(t, len(r.offers(peerC)), 1)
+	r.c.Submit(r.now, testJob("k", 1))
+	assert.Equal(t, len(r.offers(peerB)), 0)
+	assert.Equal(t, len(r.offers(peerC)), 1)
+}
+
+// A task waits at an executor that is full while room appears at another. It is asked back,
+// once, and goes there when it is given back.
+func TestWaitingTaskMovesToRoom(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w1", 0)
+	r.c.Submit(r.now, testJob("j", 1))
+	waits := r.offers(peerB)[0]
+	assert.Assert(t, !waits.OnlyNow)
+	r.c.Tick(r.now)
+	assert.Equal(t, r.reclaimed(peerB), 0)
+	r.holder(peerC, 2, "w2", 1)
+	r.c.Tick(r.now)
+	assert.Equal(t, r.reclaimed(peerB), 1)
+	r.c.Tick(r.now)
+	assert.Equal(t, r.reclaimed(peerB), 0)
+	r.holder(peerC, 2, "w2", 1) // its next heartbeat
+	r.notRun(peerB, waits, executor.ReasonReclaimed)
+	moved := r.offers(peerC)
+	assert.Equal(t, len(moved), 1)
+	assert.Assert(t, moved[0].Run > waits.Run)
+	assert.Equal(t, len(r.answers), 0)
+}
+
+// A task that was asked back has started at the same moment: it goes on where it is.
+func TestStartedTaskDoesNotMove(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w1", 0)
+	r.c.Submit(r.now, testJob("j", 1))
+	waits := r.offers(peerB)[0]
+	r.holder(peerC, 2, "w2", 1)
+	r.c.Tick(r.now)
+	r.c.Reported(r.now, peerB, task.Report{ID: waits.ID, Run: waits.Run, Outcome: task.Started, Worker: "w1"})
+	r.c.Tick(r.now)
+	assert.Equal(t, len(r.offers(peerC)), 0)
+	r.c.Reported(r.now, peerB, task.Report{ID: waits.ID, Run: waits.Run, Outcome: task.Done, Worker: "w1"})
+	r.drain()
+	assert.Equal(t, r.answers[0].Status, Completed)
+}
+
+// A task that no executor has room for stops moving before it has used up its offers.
+func TestMovesAreBounded(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w1", 0)
+	r.c.Submit(r.now, testJob("j", 1))
+	at, to := peerB, peerC
+	moves := 0
+	for range 2 * maxOffers {
+		offers := r.offers(at)
+		if len(offers) == 0 {
+			break
+		}
+		r.holder(at, 1, "w1", 0)
+		r.holder(to, 2, "w2", 1)
+		r.c.Tick(r.now)
+		if r.reclaimed(at) == 0 {
+			break
+		}
+		r.holder(to, 2, "w2", 0) // taken by another
+		r.notRun(at, offers[0], executor.ReasonReclaimed)
+		if len(r.offers(at)) > 0 {
+			break // it waits at the same executor again
+		}
+		at, to = to, at
+		moves++
+	}
+	assert.Assert(t, moves <= maxMoves)
+	assert.Equal(t, len(r.answers), 0, "it still waits")
+}
+
+// All callers come at once and executors tell of their backlogs with delay: tasks begin
+// later than was foreseen. Further jobs that would be late by that are refused at once, and
+// a moment later, with nothing observed, jobs are taken again.
+func TestObservedWaitRefuses(t *testing.T) {
+	var e excess
+	for range 10 {
+		e.observe(time.Second, 50*time.Millisecond, 250*time.Millisecond)
+	}
+	assert.Assert(t, e.now(time.Second) > 150*time.Millisecond)
+	assert.Assert(t, e.now(time.Second) <= 200*time.Millisecond)
+	assert.Assert(t, e.now(time.Second+4*excessMemory) < 10*time.Millisecond)
+	e.observe(time.Second, 0, time.Hour)
+	assert.Assert(t, e.now(time.Second) <= maxExcess, "one dead worker is no overload")
+	for range 40 {
+		e.observe(time.Second, 50*time.Millisecond, 10*time.Millisecond)
+	}
+	assert.Equal(t, e.now(time.Second), time.Duration(0))
+
+	r := newRig(t)
+	r.c.SetHolder(Holder{Process: self, Rooms: []executor.Room{roomFor("w1", 0)}, Backlog: backlogOf(200)})
+	r.c.Submit(r.now, testJob("in-time", 1))
+	assert.Equal(t, len(r.answers), 0)
+	r.c.excess.observe(r.now, 0, time.Second)
+	r.c.excess.observe(r.now, 0, time.Second)
+	r.c.Submit(r.now, testJob("too-late", 1))
+	r.drain()
+	assert.Equal(t, r.answers[0].Reason, ReasonNoRoom)
+	r.c.SetHolder(Holder{Process: self, Rooms: []executor.Room{roomFor("w1", 1)}, Backlog: backlogOf(200)})
+	r.c.Submit(r.now, testJob("room", 1))
+	assert.Equal(t, len(r.answers), 1, "with room a job is never refused")
+}
+
+// A best-effort job that is wider than the fleet runs in waves; its own work is no reason to
+// refuse it.
+func TestWideJobIsTaken(t *testing.T) {
+	r := newRig(t)
+	r.c.SetHolder(Holder{Process: self, Rooms: []executor.Room{roomFor("w1", 4)}})
+	r.c.Submit(r.now, testJob("wide", 40))
+	r.drain()
+	assert.Equal(t, len(r.answers), 0)
+	huge := testJob("huge", 1)
+	huge.Steps[0].Demand = capacity.Vector{MilliCPU: 1 << 30}
+	r.c.Submit(r.now, huge)
+	r.drain()
+	r.now += time.Second
+	r.c.Tick(r.now)
+	r.drain()
+	assert.Equal(t, r.answers[0].Status, Refused)
+}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lavendercleat/lavendercleat/executor"
 	"github.com/lavendercleat/lavendercleat/member"
 	"github.com/lavendercleat/lavendercleat/task"
@@ -18,8 +21,8 @@
 	// Rooms is what is left on each worker; the coordinator takes off what it offers
 	// until the next word of the executor.
 	Rooms []executor.Room
-	// Backlog is the work in core-ms that waits there, by service.
-	Backlog map[string]int64
+	// Backlog is the work that waits there, by service.
+	Backlog map[string]executor.Backlog
 	// Leaving executors get nothing new.
 	Leaving bool
 	// Heard is when the executor told this.
@@ -39,6 +42,17 @@
 	r.holders = slices.Insert(r.holders, at, &h)
 }
 
+// clone returns a copy for trying out where tasks would go.
+func (r *rooms) clone() *rooms {
+	c := &rooms{holders: make([]*Holder, len(r.holders))}
+	for i, h := range r.holders {
+		n := *h
+		n.Rooms, n.Backlog = slices.Clone(h.Rooms), maps.Clone(h.Backlog)
+		c.holders[i] = &n
+	}
+	return c
+}
+
 func (r *rooms) get(p member.Process) *Holder {
 	for _, h := range r.holders {
 		if h.Process == p {
@@ -81,23 +95,39 @@
 	return best
 }
 
-// queue returns the executor where the task waits the shortest time and that time.
-func (r *rooms) queue(t *task.Task) (*Holder, time.Duration) {
-	var best *Holder
-	var wait time.Duration
-	for _, h := range r.holders {
-		if h.Leaving {
-			continue
-		}
-		w, ok := h.wait(t)
-		if !ok {
-			continue
+// full notes that the executor has no room for the task now.
+func (h *Holder) full(t *task.Task) {
+	for i := range h.Rooms {
+		if w := &h.Rooms[i]; w.Service == t.Service && t.Demand.Fits(w.Free) {
+			w.Free.MilliCPU = t.Demand.MilliCPU - 1
 		}
-		if best == nil || w < wait {
-			best, wait = h, w
+	}
+}
+
+// queue returns the executor at which the task is to wait: of two, the one with the shorter
+// wait. The shortest of all would be the choice of all coordinators until its next
+// heartbeat. Nil when no worker may run the task.
+func (r *rooms) queue(now time.Duration, t *task.Task) *Holder {
+	var usable []*Holder
+	for _, h := range r.holders {
+		if !h.Leaving && h.copies(t) > 0 {
+			usable = append(usable, h)
 		}
 	}
-	return best, wait
+	n := uint64(len(usable))
+	switch n {
+	case 0:
+		return nil
+	case 1:
+		return usable[0]
+	}
+	draw := xxhash.Sum64String(t.ID.String()) + uint64(t.Run)
+	first := usable[draw%n]
+	second := usable[(draw%n+1+(draw>>32)%(n-1))%n]
+	if second.wait(now, t) < first.wait(now, t) {
+		return second
+	}
+	return first
 }
 
 // serves reports whether a worker of the service is known.
@@ -115,27 +145,53 @@
 // maxCopies bounds how many tasks count as fitting on one worker at a time.
 const maxCopies = 1000
 
-// wait is the time for which the work that waits keeps the executor's workers busy; ok is
-// false when none of them may run the task. Workers are counted by the number of such
-// tasks that fit on them: a part of a worker too small for one task is no room.
-func (h *Holder) wait(t *task.Task) (d time.Duration, ok bool) {
-	copies := 0
+// copies is how many such tasks the executor's workers can run at a time: a part of a
+// worker too small for one task is no room.
+func (h *Holder) copies(t *task.Task) int {
+	n := 0
 	for _, r := range h.Rooms {
 		if r.Usable && r.Service == t.Service {
-			copies += t.Demand.Copies(r.Total, maxCopies)
+			n += t.Demand.Copies(r.Total, maxCopies)
 		}
 	}
-	if copies == 0 {
-		return 0, false
+	return n
+}
+
+// wait is the time for which the work before the task keeps the executor's workers busy.
+func (h *Holder) wait(now time.Duration, t *task.Task) time.Duration {
+	return waitFor(t, h.ahead(now, t), h.copies(t))
+}
+
+func (h *Holder) ahead(now time.Duration, t *task.Task) int64 {
+	b := h.Backlog[t.Service]
+	return b.Ahead(now, t)
+}
+
+// wait is the time for which the task would wait if all executors had one queue: tasks move
+// to where there is room. copies is how many of them run at a time; 0: no worker may run it.
+func (r *rooms) wait(now time.Duration, t *task.Task) (d time.Duration, copies int) {
+	ahead := int64(0)
+	for _, h := range r.holders {
+		if n := h.copies(t); n > 0 && !h.Leaving {
+			copies += n
+			ahead += h.ahead(now, t)
+		}
 	}
-	waiting := h.Backlog[t.Service] * 1000 / max(t.Demand.MilliCPU, 1)
-	return time.Duration(waiting/int64(copies)) * time.Millisecond, true
+	return waitFor(t, ahead, copies), copies
+}
+
+// waitFor is how long work in core-ms lasts on room for a number of copies of the task.
+func waitFor(t *task.Task, ahead int64, copies int) time.Duration {
+	slots := ahead * 1000 / max(t.Demand.MilliCPU, 1)
+	return time.Duration(slots/int64(max(copies, 1))) * time.Millisecond
 }
 
 // charge adds a task to the work that waits at an executor.
-func (h *Holder) charge(t *task.Task) {
+func (h *Holder) charge(now time.Duration, t *task.Task) {
 	if h.Backlog == nil {
-		h.Backlog = make(map[string]int64)
+		h.Backlog = make(map[string]executor.Backlog)
 	}
-	h.Backlog[t.Service] += t.Demand.MilliCPU * t.Expected.Milliseconds() / 1000
+	b := h.Backlog[t.Service]
+	b.Add(now, t)
+	h.Backlog[t.Service] = b
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -111,6 +111,35 @@
 	}
 	e.expire(now)
 	e.step(now)
+	e.returnTaken(now)
+}
+
+// returnTaken gives back tasks that were to start at once and found no room: their
+// coordinators' idea of it was out of date.
+func (e *Executor) returnTaken(now time.Duration) {
+	e.queue = slices.DeleteFunc(e.queue, func(q *queued) bool {
+		if q.task.OnlyNow {
+			e.returnQueued(now, q, ReasonTaken)
+		}
+		return q.task.OnlyNow
+	})
+}
+
+// Reclaim gives tasks back that still wait.
+func (e *Executor) Reclaim(now time.Duration, owner member.Process, ids []task.ID) {
+	e.queue = slices.DeleteFunc(e.queue, func(q *queued) bool {
+		if q.owner != owner || !slices.Contains(ids, q.task.ID) {
+			return false
+		}
+		e.returnQueued(now, q, ReasonReclaimed)
+		return true
+	})
+}
+
+func (e *Executor) returnQueued(now time.Duration, q *queued, reason string) {
+	r := task.Report{ID: q.task.ID, Run: q.task.Run, Outcome: task.NotRun, Reason: reason}
+	e.out.Events = append(e.out.Events, Event{Name: EventGivenBack, ID: r.ID, Run: r.Run, Detail: r.Reason, Age: now - q.since})
+	e.report(q.owner, r)
 }
 
 // before orders the queue: tasks that have to start soonest go first, and among equals
@@ -203,6 +232,10 @@
 	ReasonNoRoom = "no_room_in_time"
 	// ReasonNoWorker: this executor holds no worker that may run the task.
 	ReasonNoWorker = "no_worker"
+	// ReasonTaken: the task was to start at once, and there is no room now.
+	ReasonTaken = "room_taken"
+	// ReasonReclaimed: its coordinator has found room elsewhere.
+	ReasonReclaimed = "reclaimed"
 	// ReasonRecalled: a coordinator has asked for what is known of its job.
 	ReasonRecalled = "recalled"
 )
@@ -211,17 +244,14 @@
 // worker left here may run.
 func (e *Executor) expire(now time.Duration) {
 	e.queue = slices.DeleteFunc(e.queue, func(q *queued) bool {
-		r := task.Report{ID: q.task.ID, Run: q.task.Run, Outcome: task.NotRun}
 		switch {
 		case now >= q.task.StartBy:
-			r.Reason = ReasonNoRoom
+			e.returnQueued(now, q, ReasonNoRoom)
 		case !e.canServe(q.task):
-			r.Reason = ReasonNoWorker
+			e.returnQueued(now, q, ReasonNoWorker)
 		default:
 			return false
 		}
-		e.out.Events = append(e.out.Events, Event{Name: EventGivenBack, ID: r.ID, Run: r.Run, Detail: r.Reason, Age: now - q.since})
-		e.report(q.owner, r)
 		return true
 	})
 }
@@ -310,13 +340,15 @@
 	return rooms
 }
 
-// Backlog returns the processor time in core-ms that waits, by service.
-func (e *Executor) Backlog() map[string]int64 {
-	b := make(map[string]int64)
+// Backlog returns the work that waits, by service.
+func (e *Executor) Backlog(now time.Duration) map[string]Backlog {
+	all := make(map[string]Backlog)
 	for _, q := range e.queue {
-		b[q.task.Service] += q.task.Demand.MilliCPU * q.task.Expected.Milliseconds() / 1000
+		b := all[q.task.Service]
+		b.Add(now, q.task)
+		all[q.task.Service] = b
 	}
-	return b
+	return all
 }
 
 // Holds returns the workers in use.
--- a/executor/place_test.go
+++ b/executor/place_test.go
@@ -120,3 +120,51 @@
 	r.e.Remove(r.now, gone)
 	assert.DeepEqual(t, r.e.Drain().Dropped, []string{"w1"})
 }
+
+// A coordinator offers a task to room that another one has taken meanwhile. The task comes
+// back at once, to be tried where there is room, instead of waiting here unseen.
+func TestTakenRoomIsTold(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.started(ownerA, testTask("a", 0))
+	r.started(ownerA, testTask("a", 1))
+	late := testTask("b", 0)
+	late.OnlyNow = true
+	r.e.Offer(r.now, ownerB, []task.Task{late})
+	assert.Equal(t, r.outcomes(ownerB, late.ID), "not_run ")
+	_, waiting := r.e.Load()
+	assert.Equal(t, waiting, 0)
+}
+
+// A coordinator has found room elsewhere for a task that waits here, and asks for it. It is
+// given back as not run; one that has started meanwhile goes on, and nothing is said of it.
+func TestWaitingTaskIsGivenBack(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	first := r.started(ownerA, testTask("a", 0))
+	r.started(ownerA, testTask("a", 1))
+	waits := testTask("b", 0)
+	r.e.Offer(r.now, ownerA, []task.Task{waits})
+	r.e.Reclaim(r.now, ownerB, []task.ID{waits.ID})
+	assert.Equal(t, r.outcomes(ownerA, waits.ID), "", "another coordinator's task is not given away")
+	r.e.Reclaim(r.now, ownerA, []task.ID{waits.ID, first.ID})
+	assert.Equal(t, r.outcomes(ownerA, waits.ID), "not_run ")
+	assert.Equal(t, r.outcomes(ownerA, first.ID), "started ")
+	assert.Assert(t, !r.has(CallStop))
+}
+
+// Work that has to start later than a task doesn't keep it waiting; work that is late does.
+func TestBacklogAheadOfATask(t *testing.T) {
+	var b Backlog
+	dueIn := func(d time.Duration) *task.Task {
+		n := testTask("j", 0)
+		n.Due = time.Second + d
+		return &n // 100 core-ms
+	}
+	for _, d := range []time.Duration{50, 130, 250, 450, 1000} {
+		b.Add(time.Second, dueIn(d*time.Millisecond))
+	}
+	assert.Equal(t, b.Ahead(time.Second, dueIn(0)), int64(100))
+	assert.Equal(t, b.Ahead(time.Second, dueIn(140*time.Millisecond)), int64(200))
+	assert.Equal(t, b.Ahead(time.Second, dueIn(2*time.Second)), int64(500))
+}
--- a/internal/node/convert.go
+++ b/internal/node/convert.go
@@ -44,7 +44,7 @@
 			MilliCpu: t.Demand.MilliCPU, MemoryMb: t.Demand.MemoryMB, Gpus: t.Demand.GPUs,
 			Priority: int32(t.Priority), ExpectedMs: t.Expected.Milliseconds(),
 			StartByMs: (t.StartBy - now).Milliseconds(), DueMs: (t.Due - now).Milliseconds(), Avoid: t.Avoid,
-			Kept: t.Kept, PerWorker: uint32(t.PerWorker),
+			Kept: t.Kept, PerWorker: uint32(t.PerWorker), OnlyNow: t.OnlyNow,
 		}
 	}
 	return out
@@ -58,7 +58,7 @@
 			Demand:   capacity.Vector{MilliCPU: t.GetMilliCpu(), MemoryMB: t.GetMemoryMb(), GPUs: t.GetGpus()},
 			Priority: int(t.GetPriority()), Expected: ms(t.GetExpectedMs()),
 			StartBy: now + ms(t.GetStartByMs()), Due: now + ms(t.GetDueMs()), Avoid: t.GetAvoid(),
-			Kept: t.GetKept(), PerWorker: int(t.GetPerWorker()),
+			Kept: t.GetKept(), PerWorker: int(t.GetPerWorker()), OnlyNow: t.GetOnlyNow(),
 		}
 	}
 	return out
@@ -110,6 +110,8 @@
 		}}}
 	case m.Offer != nil:
 		return &schema.Frame{Body: &schema.Frame_Offer{Offer: &schema.Offer{Tasks: tasksToWire(now, m.Offer)}}}
+	case m.Reclaim != nil:
+		return &schema.Frame{Body: &schema.Frame_Withdrawal{Withdrawal: &schema.Withdrawal{Tasks: idsToWire(m.Reclaim), OnlyWaiting: true}}}
 	case m.Relinquish != nil:
 		return &schema.Frame{Body: &schema.Frame_Withdrawal{Withdrawal: &schema.Withdrawal{Tasks: idsToWire(m.Relinquish), HoldEnds: true}}}
 	case m.Settle != nil:
@@ -143,7 +145,7 @@
 func holderFromPulse(p member.Process, near int, pulse *schema.Pulse) coordinator.Holder {
 	h := coordinator.Holder{
 		Process: p, Near: near, Leaving: pulse.GetLeaving() || !pulse.GetServing(),
-		Backlog: make(map[string]int64),
+		Backlog: make(map[string]executor.Backlog),
 	}
 	for _, r := range pulse.GetRooms() {
 		h.Rooms = append(h.Rooms, executor.Room{
@@ -153,7 +155,9 @@
 		})
 	}
 	for _, b := range pulse.GetBacklogs() {
-		h.Backlog[b.GetService()] = b.GetCoreMs()
+		var work executor.Backlog
+		copy(work[:], b.GetCoreMs())
+		h.Backlog[b.GetService()] = work
 	}
 	return h
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -235,7 +235,7 @@
 // ownHolder is what this daemon's executor has left.
 func (n *Node) ownHolder(now time.Duration) coordinator.Holder {
 	return coordinator.Holder{
-		Process: n.self.Process, Rooms: n.executor.Rooms(now), Backlog: n.executor.Backlog(), Heard: now,
+		Process: n.self.Process, Rooms: n.executor.Rooms(now), Backlog: n.executor.Backlog(now), Heard: now,
 	}
 }
 
@@ -288,6 +288,8 @@
 		n.executor.Claimed(now, *m.Claims)
 	case m.Offer != nil:
 		n.executor.Offer(now, n.self.Process, m.Offer)
+	case m.Reclaim != nil:
+		n.executor.Reclaim(now, n.self.Process, m.Reclaim)
 	case m.Relinquish != nil:
 		n.executor.Relinquish(now, n.self.Process, m.Relinquish)
 	case m.Settle != nil:
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -89,8 +89,8 @@
 			TotalMilliCpu: r.Total.MilliCPU, TotalMemoryMb: r.Total.MemoryMB, TotalGpus: r.Total.GPUs,
 		})
 	}
-	for service, work := range n.executor.Backlog() {
-		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: work})
+	for service, work := range n.executor.Backlog(now) {
+		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: work[:]})
 	}
 	p.Pending = n.ownPending()
 	if n.fleet.tellPeers(now) {
@@ -143,6 +143,10 @@
 				n.executor.Relinquish(now, p.Process, ids)
 				return
 			}
+			if b.Withdrawal.GetOnlyWaiting() {
+				n.executor.Reclaim(now, p.Process, ids)
+				return
+			}
 			n.executor.Withdraw(now, p.Process, ids)
 		})
 	case *schema.Frame_Settlement:
--- a/task/task.go
+++ b/task/task.go
@@ -51,6 +51,8 @@
 	Kept bool
 	// PerWorker is how many tasks of the step may run on one worker; 0: any number.
 	PerWorker int
+	// OnlyNow: the task is given back at once unless it can start now.
+	OnlyNow bool
 }
 
 // RunRef names one run of a task.
--- /dev/null
+++ b/test/policy/load_test.go
@@ -0,0 +1,132 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// mixture is what a fleet is asked for: wide short jobs, few long ones, and many pairs of
+// tasks in between.
+func mixture(perSecond float64) []kind {
+	return []kind{
+		{"short", 0.244 * perSecond, 8, 60 * time.Millisecond, 14000, 0, 0.0291},
+		{"long", 0.0444 * perSecond, 4, 900 * time.Millisecond, 14000, 2, 0.16},
+		{"pairs", 0.711 * perSecond, 2, 200 * time.Millisecond, 14000, 1, 0.01},
+	}
+}
+
+// Jobs a second that keep a fleet of fourDomains busy to a share of its room.
+const (
+	load75  = 155
+	load100 = 200
+	load125 = 250
+)
+
+func fourDomains(perSecond float64) load {
+	return load{domains: 4, daemonsEach: 2, workersEach: 12, kinds: mixture(perSecond), length: 20 * time.Second}
+}
+
+// oneQueue is the same fleet with one daemon, which knows all: what it can't serve on time
+// no division of the fleet could.
+func (l load) oneQueue() load {
+	l.workersEach, l.domains, l.daemonsEach = l.workersEach*l.domains, 1, 1
+	return l
+}
+
+// seeds is how often each load is played: the credit of one differs by up to 0.03 from
+// another's at 100% load.
+const seeds = 3
+
+// mean plays a load with several seeds.
+func mean(t *testing.T, l load) (f figures) {
+	t.Helper()
+	for seed := range uint64(seeds) {
+		g := play(l, seed)
+		f.jobs += g.jobs
+		f.onTime += g.onTime
+		f.late += g.late
+		f.refused += g.refused
+		f.failed += g.failed
+		f.credit += g.credit / seeds
+		f.useless += g.useless / seeds
+	}
+	t.Log(f)
+	return f
+}
+
+// Three quarters of the room are in use, in bursts more. Tasks wait at one daemon while
+// workers of another stand free, and jobs come late that one queue would serve: 0.022 of
+// the credit, before daemons told taken room at once and coordinators moved tasks to it.
+func TestRoomElsewhereIsUsed(t *testing.T) {
+	l := fourDomains(load75)
+	f, best := mean(t, l), mean(t, l.oneQueue())
+	assert.Assert(t, f.credit > best.credit-0.012)
+	assert.Assert(t, f.refused < f.jobs/200)
+	assert.Equal(t, f.failed, 0)
+}
+
+// The fleet is asked for all of its room. One queue loses 0.01; daemons that foresee waits
+// from old news lost 0.11 to 0.14.
+func TestFullFleet(t *testing.T) {
+	l := fourDomains(load100)
+	f, best := mean(t, l), mean(t, l.oneQueue())
+	assert.Assert(t, f.credit > best.credit-0.06)
+	assert.Assert(t, f.failed < f.jobs/500)
+}
+
+// Callers ask for a quarter more than there is. Who can't be served in time is refused at
+// once; who is taken is mostly served in time, and few are held in vain. Without the observed excess
+// a third of the jobs came late, and those that were late made others so.
+func TestOverloadIsRefusedSoon(t *testing.T) {
+	l := fourDomains(load125)
+	f := mean(t, l)
+	assert.Assert(t, f.credit > 0.68)
+	assert.Assert(t, f.late < f.onTime/4)
+	assert.Assert(t, f.failed < f.jobs/500, "held in vain")
+	assert.Assert(t, f.useless < 0.01)
+}
+
+// A fifth of the workers turn slow for some seconds; nobody tells. Waits that are longer
+// than foreseen show it: jobs are refused sooner, and when the workers are well again jobs
+// are taken as before.
+func TestSlowWorkersShowInWaits(t *testing.T) {
+	l := fourDomains(load100)
+	l.slow = func(worker int, at time.Duration) float64 {
+		if worker%5 == 0 && at > 6*time.Second && at < 11*time.Second {
+			return 6
+		}
+		return 1
+	}
+	f := mean(t, l)
+	assert.Assert(t, f.credit > 0.84)
+	assert.Assert(t, f.failed < f.jobs/50)
+}
+
+// Workers are taken away one after the other while callers come as before: refusals take
+// the place of room, without jobs that are held in vain.
+func TestShrinkingFleet(t *testing.T) {
+	l := fourDomains(load75)
+	l.gone = func(worker int, at time.Duration) bool {
+		return worker%4 == 0 && at > time.Duration(worker)*200*time.Millisecond
+	}
+	f := mean(t, l)
+	assert.Assert(t, f.credit > 0.9)
+	assert.Assert(t, f.failed < f.jobs/500)
+}
+
+// All callers come twice as often for two seconds. The fleet is back to its usual service
+// soon after, instead of working off what is late first.
+func TestBurstPasses(t *testing.T) {
+	l := fourDomains(load75)
+	l.rate = func(at time.Duration) float64 {
+		if at > 5*time.Second && at < 7*time.Second {
+			return 2
+		}
+		return 1
+	}
+	f := mean(t, l)
+	assert.Assert(t, f.credit > 0.915)
+	assert.Assert(t, f.failed < f.jobs/500)
+}
