--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -62,7 +62,7 @@
 func (c *Coordinator) wait(now time.Duration, j *job) (worst time.Duration, ok bool) {
 	plan := c.rooms.clone()
 	for _, t := range j.tasks {
-		if !j.ready(t.ID.Step) || !j.Kept && plan.take(&t.Task) != nil {
+		if !j.ready(t.ID.Step) || !j.Kept && plan.take(now, &t.Task) != nil {
 			continue
 		}
 		wait, copies := plan.wait(now, &t.Task)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -147,7 +147,7 @@
 		}
 		t.StartBy = now + keptOfferTime
 	}
-	h := c.rooms.take(&t.Task)
+	h := c.rooms.take(now, &t.Task)
 	hasRoom := h != nil
 	if h == nil {
 		if h = c.rooms.queue(now, &t.Task); h != nil {
@@ -319,7 +319,7 @@
 			}
 		}
 	}
-	c.rebalance()
+	c.rebalance(now)
 }
 
 // sorted returns the jobs in a repeatable order.
--- a/coordinator/rebalance.go
+++ b/coordinator/rebalance.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lavendercleat/lavendercleat/task"
 )
@@ -15,7 +16,7 @@
 // executor reports them as not run, and they are offered again. Without it a task stays
 // where the shortest wait was expected when it came, and at 70% load one in four tasks that
 // waited did so while there was room elsewhere.
-func (c *Coordinator) rebalance() {
+func (c *Coordinator) rebalance(now time.Duration) {
 	var waiting []*jobTask
 	for _, j := range c.jobs {
 		for _, t := range j.tasks {
@@ -28,7 +29,7 @@
 		return cmp.Or(cmp.Compare(a.Due-a.Expected, b.Due-b.Expected), cmp.Compare(a.ID.String(), b.ID.String()))
 	})
 	for _, t := range waiting {
-		if h := c.rooms.take(&t.Task); h != nil && h.Process != t.holder {
+		if h := c.rooms.take(now, &t.Task); h != nil && h.Process != t.holder {
 			t.reclaiming = true
 			c.reclaim(t)
 		}
--- a/coordinator/rebalance_test.go
+++ b/coordinator/rebalance_test.go
@@ -165,3 +165,22 @@
 	r.drain()
 	assert.Equal(t, r.answers[0].Status, Refused)
 }
+
+// A daemon that has most room falls silent. Before it is given up it gets nothing new, and
+// its room is not counted on: tasks offered there would be lost to their callers.
+func TestOverdueExecutorGetsNothing(t *testing.T) {
+	r := newRig(t)
+	room := []executor.Room{roomFor("w1", 4)}
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: room, Heard: r.now})
+	r.now += overdueAfter
+	r.c.Submit(r.now, testJob("in-time", 1))
+	assert.Equal(t, len(r.offers(peerB)), 1)
+	r.now += time.Millisecond
+	r.c.SetHolder(Holder{Process: peerC, Near: 2, Rooms: []executor.Room{roomFor("w2", 0)}, Heard: r.now})
+	r.c.Submit(r.now, testJob("late", 1))
+	assert.Equal(t, len(r.offers(peerB)), 0)
+	assert.Equal(t, len(r.offers(peerC)), 1)
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: room, Heard: r.now})
+	r.c.Submit(r.now, testJob("again", 1))
+	assert.Equal(t, len(r.offers(peerB)), 1)
+}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -25,10 +25,20 @@
 	Backlog map[string]executor.Backlog
 	// Leaving executors get nothing new.
 	Leaving bool
-	// Heard is when the executor told this.
+	// Heard is when the executor told this; 0: not known.
 	Heard time.Duration
 }
 
+// overdueAfter is the age of an executor's last word from which it is offered nothing new:
+// three heartbeats. It is given up only after nine; until then tasks offered to one that
+// is cut off, frozen or without power would be lost to their callers.
+const overdueAfter = 300 * time.Millisecond
+
+// offerable reports whether the executor is offered new tasks.
+func (h *Holder) offerable(now time.Duration) bool {
+	return !h.Leaving && (h.Heard == 0 || now-h.Heard <= overdueAfter)
+}
+
 // rooms is the coordinator's idea of all executors.
 type rooms struct {
 	holders []*Holder
@@ -66,21 +76,34 @@
 	r.holders = slices.DeleteFunc(r.holders, func(h *Holder) bool { return h.Process == p })
 }
 
-// take returns an executor with room for the task now and takes the room off; the
-// nearest one with the tightest fit.
-func (r *rooms) take(t *task.Task) *Holder {
-	for _, h := range r.holders {
-		if h.Leaving {
-			continue
+// take returns an executor with room for the task now and takes the room off: the nearest
+// one, with the tightest fit. Among equally near ones each task begins with another:
+// coordinators that all began with the same would take its room from each other.
+func (r *rooms) take(now time.Duration, t *task.Task) *Holder {
+	draw := int(drawFor(t) % (1 << 30))
+	for rest := r.holders; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && rest[n].Near == rest[0].Near {
+			n++
 		}
-		if room := h.fit(t); room != nil {
-			room.Free = room.Free.Minus(t.Demand)
-			return h
+		for i := range n {
+			h := rest[(draw+i)%n]
+			if !h.offerable(now) {
+				continue
+			}
+			if room := h.fit(t); room != nil {
+				room.Free = room.Free.Minus(t.Demand)
+				return h
+			}
 		}
+		rest = rest[n:]
 	}
 	return nil
 }
 
+// drawFor is a pseudo-random number for an offer of the task.
+func drawFor(t *task.Task) uint64 { return xxhash.Sum64String(t.ID.String()) + uint64(t.Run) }
+
 func (h *Holder) fit(t *task.Task) *executor.Room {
 	var best *executor.Room
 	for i := range h.Rooms {
@@ -110,7 +133,7 @@
 func (r *rooms) queue(now time.Duration, t *task.Task) *Holder {
 	var usable []*Holder
 	for _, h := range r.holders {
-		if !h.Leaving && h.copies(t) > 0 {
+		if h.offerable(now) && h.copies(t) > 0 {
 			usable = append(usable, h)
 		}
 	}
@@ -121,7 +144,7 @@
 	case 1:
 		return usable[0]
 	}
-	draw := xxhash.Sum64String(t.ID.String()) + uint64(t.Run)
+	draw := drawFor(t)
 	first := usable[draw%n]
 	second := usable[(draw%n+1+(draw>>32)%(n-1))%n]
 	if second.wait(now, t) < first.wait(now, t) {
@@ -172,7 +195,7 @@
 func (r *rooms) wait(now time.Duration, t *task.Task) (d time.Duration, copies int) {
 	ahead := int64(0)
 	for _, h := range r.holders {
-		if n := h.copies(t); n > 0 && !h.Leaving {
+		if n := h.copies(t); n > 0 && h.offerable(now) {
 			copies += n
 			ahead += h.ahead(now, t)
 		}
--- a/test/policy/load_test.go
+++ b/test/policy/load_test.go
@@ -51,6 +51,7 @@
 		f.failed += g.failed
 		f.credit += g.credit / seeds
 		f.useless += g.useless / seeds
+		f.returned += g.returned / seeds
 	}
 	t.Log(f)
 	return f
@@ -130,3 +131,16 @@
 	assert.Assert(t, f.credit > 0.915)
 	assert.Assert(t, f.failed < f.jobs/500)
 }
+
+// A failure domain is cut off twice for five seconds. What its daemons have offered beyond
+// the cut gets no answer; once heartbeats are overdue they offer nothing more there, well
+// before they give the daemons up.
+func TestCutDomain(t *testing.T) {
+	l := fourDomains(load75)
+	l.cut = func(domain string, at time.Duration) bool {
+		return domain == "z1" && (at > 3*time.Second && at < 8*time.Second || at > 12*time.Second && at < 17*time.Second)
+	}
+	f := mean(t, l)
+	assert.Assert(t, f.credit > 0.955)
+	assert.Assert(t, f.failed < f.jobs/60)
+}
