--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -47,7 +47,7 @@
 		worst += c.excess.now(now)
 	}
 	if slack := max(j.due-now-longestChain(j.Steps), 0); worst > slack {
-		return ReasonNoRoom, max(worst-slack, minRetryAfter)
+		return ReasonNoRoom, c.comeBack(now, j, max(worst-slack, minRetryAfter))
 	}
 	return "", 0
 }
@@ -77,6 +77,32 @@
 	return worst, true
 }
 
+const (
+	// returnShare is the part of its room that a daemon counts on for callers that come back.
+	// With 0.25, 0.5 and 1 of it nearly all, 99% and 95% of a burst's callers were served at
+	// 75% load; less makes them wait for longer than they have to.
+	returnShare = 0.25
+	// maxRetryAfter bounds the time after which a refused caller is told to come back.
+	maxRetryAfter = 5 * time.Second
+)
+
+// comeBack is when a refused caller may come back: after those that were refused before it.
+// Were all of a burst told the same time, they would be the next burst.
+func (c *Coordinator) comeBack(now time.Duration, j *job, least time.Duration) time.Duration {
+	var work int64
+	for _, s := range j.Steps {
+		work += int64(s.Count) * s.Demand.MilliCPU * s.Expected.Milliseconds() / 1000
+	}
+	cores := c.rooms.share(now, j.Service)
+	c.returning = max(c.returning, now+least)
+	after := c.returning - now
+	if cores > 0 {
+		c.returning += time.Duration(float64(work)/(returnShare*cores)) * time.Millisecond
+	}
+	c.returning = min(c.returning, now+maxRetryAfter)
+	return after
+}
+
 // noteWait notes when a task was offered first, and how long it was to wait.
 func (c *Coordinator) noteWait(now time.Duration, t *jobTask, hasRoom bool) {
 	if t.offers == 0 {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -76,6 +76,8 @@
 	held bool
 	// excess is by how much tasks wait longer than was foreseen.
 	excess excess
+	// returning is when the last refused caller was told to come back.
+	returning time.Duration
 }
 
 // New returns a coordinator of the given process.
--- a/coordinator/rebalance_test.go
+++ b/coordinator/policy_test.go
@@ -184,3 +184,24 @@
 	r.c.Submit(r.now, testJob("again", 1))
 	assert.Equal(t, len(r.offers(peerB)), 1)
 }
+
+// Many callers are refused at once. Each is told to come back after those before it, as far
+// apart as their work takes, and none later than maxRetryAfter.
+func TestRefusedComeBackOneAfterTheOther(t *testing.T) {
+	r := newRig(t)
+	r.c.SetHolder(Holder{Process: self, Rooms: []executor.Room{roomFor("w1", 0)}, Backlog: backlogOf(4000)})
+	var last time.Duration
+	for i := range 40 {
+		r.c.Submit(r.now, testJob(string(rune('a'+i)), 1))
+		r.drain()
+		after := r.answers[i].RetryAfter
+		assert.Equal(t, r.answers[i].Reason, ReasonNoRoom)
+		assert.Assert(t, after > last || after == maxRetryAfter, "%s after %s", after, last)
+		last = after
+	}
+	assert.Equal(t, last, min(last, maxRetryAfter))
+	r.now += time.Minute
+	r.c.Submit(r.now, testJob("later", 1))
+	r.drain()
+	assert.Assert(t, r.answers[40].RetryAfter < 2*time.Second, "the callers of a minute ago have been here")
+}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -218,3 +218,20 @@
 	b.Add(now, t)
 	h.Backlog[t.Service] = b
 }
+
+// share is one daemon's part of the processors, in cores, of all workers of a service.
+func (r *rooms) share(now time.Duration, service string) float64 {
+	milli, daemons := int64(0), 0
+	for _, h := range r.holders {
+		if !h.offerable(now) {
+			continue
+		}
+		daemons++
+		for _, w := range h.Rooms {
+			if w.Usable && w.Service == service {
+				milli += w.Total.MilliCPU
+			}
+		}
+	}
+	return float64(milli) / 1000 / float64(max(daemons, 1))
+}
--- a/test/policy/load_test.go
+++ b/test/policy/load_test.go
@@ -52,6 +52,7 @@
 		f.credit += g.credit / seeds
 		f.useless += g.useless / seeds
 		f.returned += g.returned / seeds
+		f.calls += g.calls / seeds
 	}
 	t.Log(f)
 	return f
@@ -61,6 +62,7 @@
 // workers of another stand free, and jobs come late that one queue would serve: 0.022 of
 // the credit, before daemons told taken room at once and coordinators moved tasks to it.
 func TestRoomElsewhereIsUsed(t *testing.T) {
+	t.Parallel()
 	l := fourDomains(load75)
 	f, best := mean(t, l), mean(t, l.oneQueue())
 	assert.Assert(t, f.credit > best.credit-0.012)
@@ -71,6 +73,7 @@
 // The fleet is asked for all of its room. One queue loses 0.01; daemons that foresee waits
 // from old news lost 0.11 to 0.14.
 func TestFullFleet(t *testing.T) {
+	t.Parallel()
 	l := fourDomains(load100)
 	f, best := mean(t, l), mean(t, l.oneQueue())
 	assert.Assert(t, f.credit > best.credit-0.06)
@@ -81,6 +84,7 @@
 // once; who is taken is mostly served in time, and few are held in vain. Without the observed excess
 // a third of the jobs came late, and those that were late made others so.
 func TestOverloadIsRefusedSoon(t *testing.T) {
+	t.Parallel()
 	l := fourDomains(load125)
 	f := mean(t, l)
 	assert.Assert(t, f.credit > 0.68)
@@ -93,6 +97,7 @@
 // than foreseen show it: jobs are refused sooner, and when the workers are well again jobs
 // are taken as before.
 func TestSlowWorkersShowInWaits(t *testing.T) {
+	t.Parallel()
 	l := fourDomains(load100)
 	l.slow = func(worker int, at time.Duration) float64 {
 		if worker%5 == 0 && at > 6*time.Second && at < 11*time.Second {
@@ -108,6 +113,7 @@
 // Workers are taken away one after the other while callers come as before: refusals take
 // the place of room, without jobs that are held in vain.
 func TestShrinkingFleet(t *testing.T) {
+	t.Parallel()
 	l := fourDomains(load75)
 	l.gone = func(worker int, at time.Duration) bool {
 		return worker%4 == 0 && at > time.Duration(worker)*200*time.Millisecond
@@ -120,6 +126,7 @@
 // All callers come twice as often for two seconds. The fleet is back to its usual service
 // soon after, instead of working off what is late first.
 func TestBurstPasses(t *testing.T) {
+	t.Parallel()
 	l := fourDomains(load75)
 	l.rate = func(at time.Duration) float64 {
 		if at > 5*time.Second && at < 7*time.Second {
@@ -136,6 +143,7 @@
 // the cut gets no answer; once heartbeats are overdue they offer nothing more there, well
 // before they give the daemons up.
 func TestCutDomain(t *testing.T) {
+	t.Parallel()
 	l := fourDomains(load75)
 	l.cut = func(domain string, at time.Duration) bool {
 		return domain == "z1" && (at > 3*time.Second && at < 8*time.Second || at > 12*time.Second && at < 17*time.Second)
@@ -144,3 +152,22 @@
 	assert.Assert(t, f.credit > 0.955)
 	assert.Assert(t, f.failed < f.jobs/60)
 }
+
+// Callers come two and a half times as often for three seconds, and who is refused comes
+// back when told. Told the same time, they came as the next burst: 1.5 calls a caller, and
+// one in fifteen was refused to the last. Told one after the other, nearly all are served.
+func TestRefusedCallersComeBackInOrder(t *testing.T) {
+	t.Parallel()
+	l := fourDomains(load75)
+	l.visits = 4
+	l.rate = func(at time.Duration) float64 {
+		if at > 5*time.Second && at < 8*time.Second {
+			return 2.5
+		}
+		return 1
+	}
+	f := mean(t, l)
+	assert.Assert(t, f.refused < f.jobs/100)
+	assert.Assert(t, f.credit > 0.88)
+	assert.Assert(t, f.calls < 1.35)
+}
