--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -8,7 +8,7 @@
 const (
 	// excessGain is the weight of one observed wait. The larger it is, the sooner a burst is
 	// answered by refusals, and the more a single slow worker brings about: 0.1 to 0.3 made no
-	// difference of more than 0.01 of the credit at 110% load, 0.03 at 140%.
+	// difference of more than 0.01 of the credit at 100% load, 0.03 at 125%.
 	excessGain = 0.2
 	// excessMemory is the time in which the excess falls to a third without observations. A
 	// fleet that refuses most jobs observes little, and has to try again soon.
@@ -36,6 +36,22 @@
 	e.mean, e.at = max(mean, 0), now
 }
 
+// pressure is what a coordinator has observed of the load on a service.
+type pressure struct {
+	excess excess
+	// returning is when the last refused caller was told to come back.
+	returning time.Duration
+}
+
+func (c *Coordinator) pressure(service string) *pressure {
+	p := c.pressures[service]
+	if p == nil {
+		p = new(pressure)
+		c.pressures[service] = p
+	}
+	return p
+}
+
 // refusal decides whether a job can't be served in time. While there is room for its first
 // tasks it is never refused.
 func (c *Coordinator) refusal(now time.Duration, j *job) (Reason, time.Duration) {
@@ -44,7 +60,7 @@
 		return ReasonNoWorkers, minRetryAfter
 	}
 	if worst > 0 {
-		worst += c.excess.now(now)
+		worst += c.pressure(j.Service).excess.now(now)
 	}
 	if slack := max(j.due-now-longestChain(j.Steps), 0); worst > slack {
 		return ReasonNoRoom, c.comeBack(now, j, max(worst-slack, minRetryAfter))
@@ -93,13 +109,13 @@
 	for _, s := range j.Steps {
 		work += int64(s.Count) * s.Demand.MilliCPU * s.Expected.Milliseconds() / 1000
 	}
-	cores := c.rooms.share(now, j.Service)
-	c.returning = max(c.returning, now+least)
-	after := c.returning - now
-	if cores > 0 {
-		c.returning += time.Duration(float64(work)/(returnShare*cores)) * time.Millisecond
+	p := c.pressure(j.Service)
+	p.returning = max(p.returning, now+least)
+	after := p.returning - now
+	if cores := c.rooms.share(now, j.Service); cores > 0 {
+		p.returning += time.Duration(float64(work)/(returnShare*cores)) * time.Millisecond
 	}
-	c.returning = min(c.returning, now+maxRetryAfter)
+	p.returning = min(p.returning, now+maxRetryAfter)
 	return after
 }
 
@@ -115,7 +131,7 @@
 // beganToRun compares the wait of a task that found no room with what was foreseen.
 func (c *Coordinator) beganToRun(now time.Duration, t *jobTask) {
 	if t.waiting {
-		c.excess.observe(now, t.foreseen, now-t.offeredAt)
+		c.pressure(t.Service).excess.observe(now, t.foreseen, now-t.offeredAt)
 	}
 	t.waiting = false
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -74,15 +74,13 @@
 	histories map[string]*history
 	// held: tasks of kept jobs are not offered, as this daemon may have lost its title to them.
 	held bool
-	// excess is by how much tasks wait longer than was foreseen.
-	excess excess
-	// returning is when the last refused caller was told to come back.
-	returning time.Duration
+	// pressures is what was observed of the load, by service.
+	pressures map[string]*pressure
 }
 
 // New returns a coordinator of the given process.
 func New(self member.Process) *Coordinator {
-	return &Coordinator{self: self, jobs: make(map[string]*job), takenOver: make(map[member.Process]map[string]bool), successors: make(map[string]succession), histories: make(map[string]*history)}
+	return &Coordinator{self: self, jobs: make(map[string]*job), takenOver: make(map[member.Process]map[string]bool), successors: make(map[string]succession), histories: make(map[string]*history), pressures: make(map[string]*pressure)}
 }
 
 // Drain returns what the embedder has to carry out since the last call.
