--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -76,6 +76,8 @@
 	held bool
 	// pressures is what was observed of the load, by service.
 	pressures map[string]*pressure
+	// undecided are takeovers that wait for news of a task.
+	undecided []undecided
 }
 
 // New returns a coordinator of the given process.
@@ -188,6 +190,9 @@
 
 // Reported takes an executor's report.
 func (c *Coordinator) Reported(now time.Duration, from member.Process, r task.Report) {
+	if len(c.undecided) > 0 {
+		defer c.decide(now)
+	}
 	j := c.jobs[r.ID.Job]
 	if j == nil {
 		return
@@ -319,6 +324,7 @@
 			}
 		}
 	}
+	c.decide(now)
 	c.rebalance(now)
 }
 
--- a/coordinator/succession.go
+++ b/coordinator/succession.go
@@ -99,9 +99,22 @@
 	for _, r := range t.Running {
 		running[r.ID] = r.Run
 	}
-	claims := executor.Claims{Owner: c.self, Worker: t.Worker}
 	c.forgetOld(now)
 	c.successors[t.Worker] = succession{from, now, running}
+	if c.undecidedFor(t) {
+		c.undecided = append(c.undecided, undecided{from, t, now})
+		return
+	}
+	c.answerTakeover(now, from, t)
+}
+
+// answerTakeover claims what is this coordinator's and restarts what the worker doesn't list.
+func (c *Coordinator) answerTakeover(now time.Duration, from member.Process, t executor.Takeover) {
+	running := make(map[task.ID]uint32)
+	for _, r := range t.Running {
+		running[r.ID] = r.Run
+	}
+	claims := executor.Claims{Owner: c.self, Worker: t.Worker}
 	for _, r := range t.Running {
 		if jt := c.lookup(r.ID); jt != nil && jt.Run <= r.Run && (jt.state == lost || jt.state == offered && jt.worker == t.Worker) {
 			c.begun(c.jobs[r.ID.Job])
--- a/coordinator/succession_test.go
+++ b/coordinator/succession_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/member"
 	"github.com/lavendercleat/lavendercleat/task"
 )
 
@@ -193,3 +194,65 @@
 	r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w9"})
 	assert.Equal(t, len(r.offers(self)), 1)
 }
+
+// A worker changes hands a moment after a task was started there, and the new holder lists a
+// run of which its coordinator has not heard yet. Were it not claimed, it would be stopped
+// and the task started a second time; the earlier holder's report tells that it is ours.
+func TestListedRunIsClaimedWhenItsStartIsHeardOf(t *testing.T) {
+	for _, news := range []task.Outcome{task.Started, task.Moved} {
+		r := newRig(t)
+		r.holder(peerB, 1, "w2", 1)
+		r.c.Submit(r.now, testJob("j", 1))
+		offer := r.offers(peerB)[0]
+		r.c.TakenOver(r.now, peerC, executor.Takeover{Worker: "w2", Running: []task.RunningTask{{ID: offer.ID, Run: offer.Run}}})
+		assert.Equal(t, r.claims(peerC), -1, "not answered yet")
+		r.holder(peerC, 1, "w2", 1)
+		r.c.Reported(r.now, peerB, task.Report{ID: offer.ID, Run: offer.Run, Outcome: news, Worker: "w2"})
+		assert.Assert(t, r.claims(peerC) > 0, "%s", news) // once more than needed after a move
+		assert.Equal(t, len(r.offers(peerC)), 0)
+		r.c.Reported(r.now, peerC, task.Report{ID: offer.ID, Run: offer.Run, Outcome: task.Done, Worker: "w2"})
+		assert.Equal(t, r.answered().Status, Completed)
+	}
+}
+
+// The listed run is that of an earlier try of the caller; ours has started elsewhere, or
+// nothing is heard of it for a while. It is not claimed, and the worker is not kept closed.
+func TestListedRunOfAnEarlierTry(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	offer := r.offers(peerB)[0]
+	listed := executor.Takeover{Worker: "w9", Running: []task.RunningTask{{ID: offer.ID, Run: offer.Run}}}
+	r.c.TakenOver(r.now, peerC, listed)
+	r.c.Reported(r.now, peerB, task.Report{ID: offer.ID, Run: offer.Run, Outcome: task.Started, Worker: "w2"})
+	assert.Equal(t, r.claims(peerC), 0)
+
+	r = newRig(t)
+	r.holder(peerB, 1, "w2", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	r.offers(peerB)
+	r.c.TakenOver(r.now, peerC, listed)
+	r.now += undecidedWait - time.Millisecond
+	r.c.Tick(r.now)
+	assert.Equal(t, r.claims(peerC), -1)
+	r.now += time.Millisecond
+	r.c.Tick(r.now)
+	assert.Equal(t, r.claims(peerC), 0)
+}
+
+// claims returns how many tasks were claimed from an executor since the last call; -1: it
+// was not answered.
+func (r *rig) claims(p member.Process) int {
+	r.drain()
+	n := -1
+	rest := r.messages[:0]
+	for _, m := range r.messages {
+		if m.To == p && m.Claims != nil {
+			n = max(n, 0) + len(m.Claims.Tasks)
+			continue
+		}
+		rest = append(rest, m)
+	}
+	r.messages = rest
+	return n
+}
