--- a/internal/node/kept_test.go
+++ b/internal/node/kept_test.go
@@ -94,3 +94,25 @@
 	assert.Equal(t, ask("new"), Uncertain)
 	assert.Assert(t, time.Since(began) < 5*confirmTimeout, "a refusal is told at once")
 }
+
+// A machine stood still with a request in its socket. Its caller has hung up and sent the
+// job to another daemon by the time the request is read: it is not started here too. A
+// caller that is still there is served.
+func TestRequestReadAfterAStandstill(t *testing.T) {
+	n := newIdle(t)
+	n.serving, n.endService = context.WithCancel(context.Background())
+	r := Request{ID: "a", Route: &routing.Route{Name: "r", Service: "s"}, Steps: []coordinator.Step{{Count: 1}}, Patience: time.Minute}
+	n.clock.suspended.Store(int64(time.Minute))
+	n.lastDo = n.clock.now() - 2*staleAfter
+	gone, hangUp := context.WithCancel(context.Background())
+	time.AfterFunc(wakeWait/10, hangUp)
+	a := n.Run(gone, r)
+	assert.Equal(t, a.Reason, coordinator.ReasonCanceled)
+	assert.Equal(t, n.jobs(), 0)
+	assert.Assert(t, !n.coordinator.Has("a"))
+
+	go n.Run(context.Background(), r)
+	for began := time.Now(); n.jobs() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 5*time.Second)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,8 @@
 	keeper      keeper
 	// lastDo is when the state machines were last run.
 	lastDo time.Duration
+	// awakeAt is when this process went on after it had stood still; 0: it never did.
+	awakeAt time.Duration
 }
 
 // New returns a daemon that listens for peers and does nothing yet.
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -23,8 +23,35 @@
 // Table returns the configuration in force; nil before the first.
 func (n *Node) Table() *routing.Table { return n.table.Load() }
 
+// wakeWait is how long new requests wait after this process has stood still: by then the
+// server has noticed which callers have hung up meanwhile, as their connections end.
+const wakeWait = 100 * time.Millisecond
+
+// awaitCaller waits after a standstill. A request that was sent before it may be read now,
+// seconds later, when its caller has given up and sent it to another daemon: it would be
+// started at both. It reports whether the caller is still there.
+func (n *Node) awaitCaller(ctx context.Context) bool {
+	n.clock.sync()
+	n.mu.Lock()
+	now := n.clock.now()
+	n.noticeGap(now)
+	wait := wakeWait - (now - n.awakeAt)
+	if n.awakeAt == 0 {
+		wait = 0
+	}
+	n.mu.Unlock()
+	if wait > 0 {
+		sleep(ctx, wait)
+	}
+	return ctx.Err() == nil
+}
+
 // Run implements Dispatcher.
 func (n *Node) Run(ctx context.Context, r Request) coordinator.Answer {
+	if !n.awaitCaller(ctx) {
+		n.metrics.ended("caller_left", "")
+		return coordinator.Answer{Job: r.ID, Status: coordinator.Refused, Reason: coordinator.ReasonCanceled, RetryAfter: time.Second}
+	}
 	w := n.join(r)
 	if w == nil {
 		return coordinator.Answer{Job: r.ID, Status: coordinator.Refused, Reason: coordinator.ReasonStopping, RetryAfter: time.Second}
--- a/internal/node/title.go
+++ b/internal/node/title.go
@@ -69,6 +69,7 @@
 func (n *Node) noticeGap(now time.Duration) {
 	gap := now - n.lastDo
 	if n.lastDo > 0 && gap > staleAfter {
+		n.awakeAt = now
 		n.loseAllPeers(now, gap)
 	}
 	if n.lastDo > 0 && gap > gapTime {
