--- a/executor/doc.go
+++ b/executor/doc.go
@@ -7,6 +7,7 @@
 //
 // The invariant: a run is reported as ended only on proof. Proof is its end in the
 // worker's list; a list made after the start was answered, or after a stop was, that
-// shows it neither running nor ended; an answer by another incarnation of the worker; a
-// refused connection; or the passing of every lease that an order may have granted.
+// shows it neither running nor ended; an answer by another incarnation of the worker; or
+// the passing of every lease that an order may have granted. A refused connection is none:
+// a partition may refuse while the worker runs on.
 package executor
