--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -27,16 +27,22 @@
 	Leaving bool
 	// Heard is when the executor told this; 0: not known.
 	Heard time.Duration
+	// Interval is the time after which its next word is due; 0: 100 ms.
+	Interval time.Duration
 }
 
-// overdueAfter is the age of an executor's last word from which it is offered nothing new:
-// three heartbeats. It is given up only after nine; until then tasks offered to one that
-// is cut off, frozen or without power would be lost to their callers.
-const overdueAfter = 300 * time.Millisecond
+const (
+	// usualInterval is the time between an executor's words where it doesn't name it.
+	usualInterval = 100 * time.Millisecond
+	// overdueSlack is how late an executor's next word may be before it is offered nothing
+	// new. It is given up only after several intervals; until then tasks offered to one that
+	// is cut off, frozen or without power would be lost to their callers.
+	overdueSlack = 200 * time.Millisecond
+)
 
 // offerable reports whether the executor is offered new tasks.
 func (h *Holder) offerable(now time.Duration) bool {
-	return !h.Leaving && (h.Heard == 0 || now-h.Heard <= overdueAfter)
+	return !h.Leaving && (h.Heard == 0 || now-h.Heard <= cmp.Or(h.Interval, usualInterval)+overdueSlack)
 }
 
 // rooms is the coordinator's idea of all executors.
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -43,6 +43,10 @@
 	// echoed is when the latest echo of one of our pulses was sent by us; echo is the
 	// peer's latest pulse.
 	echoed, echo int64
+	// interval is the time between the peer's heartbeats.
+	interval time.Duration
+	// told is the number of the heartbeat last written on this connection; 0: none.
+	told uint64
 	// dialed is when the connection was made, lost when the last session ended: an echo
 	// of an older pulse doesn't show that messages pass now.
 	dialed, lost int64
@@ -59,7 +63,7 @@
 }
 
 func newLink(m *Mesh, a netip.AddrPort) *link {
-	return &link{mesh: m, address: a, wake: make(chan struct{}, 1), session: 1, lastNamed: time.Now()}
+	return &link{mesh: m, address: a, wake: make(chan struct{}, 1), session: 1, lastNamed: time.Now(), interval: pulseInterval}
 }
 
 func (l *link) named() {
@@ -166,7 +170,7 @@
 		Session: l.session,
 	}
 	l.mu.Unlock()
-	_ = c.SetDeadline(time.Now().Add(redialAfter))
+	_ = c.SetDeadline(time.Now().Add(writeTimeout))
 	if _, err := protodelim.MarshalTo(c, &schema.Frame{Body: &schema.Frame_Hello{Hello: hello}}); err != nil {
 		return err
 	}
@@ -197,14 +201,18 @@
 // write sends pulses and the outbox until the connection breaks or goes silent.
 func (l *link) write(c net.Conn, broken chan struct{}) error {
 	w := bufio.NewWriterSize(c, 4096)
-	tick := time.NewTimer(l.mesh.nextPulse())
+	due := time.Now()
+	tick := time.NewTimer(0)
 	defer tick.Stop()
-	pulse := true
 	for {
+		pulse := !time.Now().Before(due)
+		if pulse {
+			due = time.Now().Add(l.mesh.nextPulse())
+		}
 		if err := l.flush(c, w, pulse); err != nil {
 			return err
 		}
-		pulse = false
+		tick.Reset(min(time.Until(due), l.redialIn()))
 		select {
 		case <-l.mesh.ctx.Done():
 			return nil
@@ -212,9 +220,7 @@
 			return nil
 		case <-l.wake:
 		case <-tick.C:
-			tick.Reset(l.mesh.nextPulse())
-			pulse = true
-			if l.connectionSilentFor() > redialAfter {
+			if l.redialIn() <= 0 {
 				return nil
 			}
 		}
@@ -227,7 +233,7 @@
 	pulse = l.takePulseDue() || pulse
 	if pulse {
 		var err error
-		if common, err = l.mesh.pulse.get(l.mesh.handler); err != nil {
+		if common, err = l.heartbeat(); err != nil {
 			return err
 		}
 	}
@@ -239,7 +245,7 @@
 	l.ackDue = false
 	echo := l.echo
 	l.mu.Unlock()
-	_ = c.SetWriteDeadline(time.Now().Add(redialAfter))
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for _, f := range frames {
 		f.Acknowledged = ack
 		if _, err := protodelim.MarshalTo(w, f); err != nil {
@@ -257,6 +263,19 @@
 	return w.Flush()
 }
 
+// heartbeat returns the common part of a heartbeat for what was written before on this
+// connection. A write that fails ends the connection, so what it left out isn't missed.
+func (l *link) heartbeat() ([]byte, error) {
+	l.mu.Lock()
+	has := l.told
+	l.mu.Unlock()
+	b, number, err := l.mesh.pulse.get(l.mesh.handler, has)
+	l.mu.Lock()
+	l.told = number
+	l.mu.Unlock()
+	return b, err
+}
+
 func (l *link) takePulseDue() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -278,11 +297,14 @@
 	return time.Duration(l.mesh.clock()-l.echoed) * time.Millisecond
 }
 
-// connectionSilentFor is the same, counted from the making of the connection.
-func (l *link) connectionSilentFor() time.Duration {
+// redialIn is the time until the connection has been silent for too long: our heartbeats
+// are echoed with the peer's next ones.
+func (l *link) redialIn() time.Duration {
+	own := l.mesh.pulse.interval()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Duration(l.mesh.clock()-max(l.echoed, l.dialed)) * time.Millisecond
+	silent := time.Duration(l.mesh.clock()-max(l.echoed, l.dialed)) * time.Millisecond
+	return own + l.interval + redialSlack - silent
 }
 
 // checkSilence counts a peer as lost that has not echoed for LostAfter.
@@ -301,6 +323,41 @@
 	}
 }
 
+// serve reads what comes on a connection that the peer has dialed.
+func (l *link) serve(session uint64, c net.Conn, r *bufio.Reader) {
+	var before heard
+	first := true
+	for {
+		// A sender pulses; without a deadline a silent connection would stay for ever.
+		_ = c.SetReadDeadline(time.Now().Add(2 * LostAfter))
+		f, err := readFrame(r)
+		if err == nil && f.GetPulse() != nil {
+			err = before.complete(f.GetPulse())
+		}
+		if err != nil {
+			l.incomingBroke()
+			return
+		}
+		if !l.received(session, f) {
+			return
+		}
+		if f.GetPulse() != nil && first {
+			// The peer has waited for an echo for long: to wait for our next heartbeat too
+			// could make it count this daemon as lost.
+			first = false
+			l.pulseNow()
+		}
+	}
+}
+
+// pulseNow sends a heartbeat at once.
+func (l *link) pulseNow() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pulseDue = true
+	l.poke()
+}
+
 // received takes a frame; false when its connection belongs to an ended session.
 func (l *link) received(session uint64, f *schema.Frame) bool {
 	l.order.Lock()
@@ -343,7 +400,7 @@
 
 // pulsed notes a heartbeat and reports whether the link came up by it.
 func (l *link) pulsed(p *schema.Pulse) bool {
-	l.echo = p.GetSentMs()
+	l.echo, l.interval = p.GetSentMs(), intervalOf(p)
 	l.echoed = max(l.echoed, p.GetEchoMs())
 	if !l.up {
 		l.pulseDue = true
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,11 +17,14 @@
 )
 
 const (
-	// pulseInterval is the time between heartbeats. Free room is told on them too.
-	pulseInterval = 100 * time.Millisecond
-	// redialAfter is the silence after which a connection is given up for a new one:
-	// something on the way may have lost track of it while new ones work.
-	redialAfter = 400 * time.Millisecond
+	// redialSlack is added to the two intervals after which a heartbeat is echoed at the
+	// latest, when all is well, for a packet that has to be sent again. A connection that is
+	// silent for longer is given up for a new one: something on the way may have lost track
+	// of it while new ones work.
+	redialSlack = 200 * time.Millisecond
+	// writeTimeout bounds a greeting and each write: a peer that reads nothing, or a link
+	// that is cut, must not hold up the look at its silence.
+	writeTimeout = 400 * time.Millisecond
 	// LostAfter is the silence after which a peer counts as lost. What ran for it is
 	// stopped then, which has to be over before its callers submit again.
 	LostAfter = 900 * time.Millisecond
@@ -52,7 +55,8 @@
 	Received(p Peer, f *schema.Frame)
 	// Pulsed takes a heartbeat.
 	Pulsed(p Peer, pulse *schema.Pulse)
-	// Pulse returns the heartbeat to send now.
+	// Pulse returns the heartbeat to send now, in full. Its NextMs names the time to the
+	// next one, which all peers are to be told of within LostAfter.
 	Pulse() *schema.Pulse
 }
 
@@ -241,18 +245,7 @@
 	if _, err := protodelim.MarshalTo(c, &schema.Frame{Body: &schema.Frame_Hello{Hello: answer}}); err != nil || !ok {
 		return
 	}
-	for {
-		// A sender pulses; without a deadline a silent connection would stay for ever.
-		_ = c.SetReadDeadline(time.Now().Add(2 * LostAfter))
-		f, err := readFrame(r)
-		if err != nil {
-			l.incomingBroke()
-			return
-		}
-		if !l.received(session, f) {
-			return
-		}
-	}
+	l.serve(session, c, r)
 }
 
 func readFrame(r *bufio.Reader) (*schema.Frame, error) {
--- a/internal/mesh/session.go
+++ b/internal/mesh/session.go
@@ -95,7 +95,7 @@
 		Process: member.Process{Address: l.address, Incarnation: answer.GetIncarnation()},
 		Name:    answer.GetName(), Domain: answer.GetDomain(),
 	}
-	l.conn, l.connected, l.sent = c, answer.GetIncarnation(), 0
+	l.conn, l.connected, l.sent, l.told = c, answer.GetIncarnation(), 0, 0
 	l.dialed = l.mesh.clock()
 	return true
 }
--- a/internal/node/convert.go
+++ b/internal/node/convert.go
@@ -145,7 +145,8 @@
 func holderFromPulse(p member.Process, near int, pulse *schema.Pulse) coordinator.Holder {
 	h := coordinator.Holder{
 		Process: p, Near: near, Leaving: pulse.GetLeaving() || !pulse.GetServing(),
-		Backlog: make(map[string]executor.Backlog),
+		Backlog: make(map[string]executor.Backlog), Interval: ms(pulse.GetNextMs()),
+		Rooms: make([]executor.Room, 0, len(pulse.GetRooms())),
 	}
 	for _, r := range pulse.GetRooms() {
 		h.Rooms = append(h.Rooms, executor.Room{
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -20,11 +20,6 @@
 	// gone before it takes workers over: without it each new process would take every
 	// worker for itself first.
 	settleTime = 600 * time.Millisecond
-	// tellPeersEvery is how often heartbeats name the peers: those that a new process
-	// doesn't know are found by it, also without the store.
-	tellPeersEvery = time.Second
-	// tellPeersFor is how long they do each time: two heartbeats, so that each link has one.
-	tellPeersFor = 200 * time.Millisecond
 	// fewerWait is how long a fleet has to be smaller before its cells are joined.
 	fewerWait = 15 * time.Second
 	// minorityWait is how long a daemon that has lost half of its peers to silence
@@ -68,7 +63,8 @@
 	// fewerSince is since when there are too few daemons for the cells; 0: there are not.
 	fewerSince time.Duration
 	settled    bool
-	toldAt     time.Duration
+	// interval is the time between this daemon's heartbeats, as peers were last told.
+	interval time.Duration
 	// outage is when the store last failed.
 	outage time.Duration
 	// revision is that of the newest entry.
@@ -80,7 +76,7 @@
 func newFleetView() fleetView {
 	return fleetView{
 		up: make(map[netip.AddrPort]*knownPeer), workers: make(map[string]*knownWorker), daemons: make(map[string]netip.AddrPort),
-		sharedAt: make(map[uint64]time.Duration),
+		sharedAt: make(map[uint64]time.Duration), interval: fleet.FastestHeartbeat,
 	}
 }
 
@@ -116,12 +112,15 @@
 	k.up, k.silentSince = false, now
 }
 
-func (f *fleetView) tellPeers(now time.Duration) bool {
-	if now-f.toldAt < tellPeersEvery && f.toldAt > 0 {
-		return now-f.toldAt < tellPeersFor
+// setInterval fits the interval of heartbeats to the number of peers.
+func (f *fleetView) setInterval() {
+	live := 0
+	for _, k := range f.up {
+		if k.up {
+			live++
+		}
 	}
-	f.toldAt = now
-	return true
+	f.interval = fleet.HeartbeatInterval(live)
 }
 
 // minority reports whether half of the peers or more were lost to silence: this daemon is
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -19,7 +19,7 @@
 
 // staleAfter is how long this process may stand still before its peers may have given it
 // up: they wait for mesh.LostAfter from a heartbeat that is two intervals old at most.
-const staleAfter = mesh.LostAfter - 200*time.Millisecond
+func staleAfter(interval time.Duration) time.Duration { return mesh.LostAfter - 2*interval }
 
 // loseAllPeers acts on having stood still for so long that peers have given this daemon
 // up: they start elsewhere what they have offered to it. What they sent before waits in
@@ -81,7 +81,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.now()
-	p := &schema.Pulse{Leaving: n.stopping.Load(), Serving: n.table.Load() != nil, StoreLost: n.documents.lost(now), DocumentVersion: n.documentVersion()}
+	n.fleet.setInterval()
+	p := &schema.Pulse{Leaving: n.stopping.Load(), Serving: n.table.Load() != nil, StoreLost: n.documents.lost(now), DocumentVersion: n.documentVersion(), NextMs: n.fleet.interval.Milliseconds()}
 	for _, r := range n.executor.Rooms(now) {
 		p.Rooms = append(p.Rooms, &schema.Room{
 			Worker: r.Worker, Service: r.Service, Open: r.Open, Usable: r.Usable,
@@ -93,10 +94,8 @@
 		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: work[:]})
 	}
 	p.Pending = n.ownPending()
-	if n.fleet.tellPeers(now) {
-		for a := range n.fleet.up {
-			p.Peers = append(p.Peers, a.String())
-		}
+	for a := range n.fleet.up {
+		p.Peers = append(p.Peers, a.String())
 	}
 	return p
 }
--- a/internal/node/title.go
+++ b/internal/node/title.go
@@ -68,7 +68,7 @@
 // noticeGap finds out that this process has stood still. The lock is held.
 func (n *Node) noticeGap(now time.Duration) {
 	gap := now - n.lastDo
-	if n.lastDo > 0 && gap > staleAfter {
+	if n.lastDo > 0 && gap > staleAfter(n.fleet.interval) {
 		n.awakeAt = now
 		n.loseAllPeers(now, gap)
 	}
