--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -76,6 +76,9 @@
 // is false when there is a task that no worker may run. The job's other tasks count as work
 // before it, unless the job is kept or wide.
 func (c *Coordinator) wait(now time.Duration, j *job) (worst time.Duration, ok bool) {
+	if !j.Kept && c.rooms.fit(now, j.firstTasks()) {
+		return 0, true // most jobs; the copy below is what costs
+	}
 	plan := c.rooms.clone()
 	for _, t := range j.tasks {
 		if !j.ready(t.ID.Step) || !j.Kept && plan.take(now, &t.Task) != nil {
@@ -135,3 +138,18 @@
 	}
 	t.waiting = false
 }
+
+// assembledShare is the part of the workers, in quarters, that has to be known before jobs
+// are judged by what is known.
+const assembledShare = 3
+
+// Expect tells how many workers executors are about to tell of, after a start; 0: all that
+// there are have been told of. Until most are known, jobs without room are not refused but
+// parked for a moment: after a loss of power of all daemons workers are taken over one by
+// one, within some hundred milliseconds, and the first few would be all the room there is
+// for callers who come back all at once.
+func (c *Coordinator) Expect(workers int) { c.expected = workers }
+
+func (c *Coordinator) assembling(now time.Duration) bool {
+	return c.expected > 0 && 4*c.rooms.usable(now) < assembledShare*c.expected
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -76,6 +76,8 @@
 	held bool
 	// pressures is what was observed of the load, by service.
 	pressures map[string]*pressure
+	// expected is how many workers there are while executors have not told of most; else 0.
+	expected int
 	// undecided are takeovers that wait for news of a task.
 	undecided []undecided
 }
@@ -113,12 +115,12 @@
 	c.admit(now, n)
 }
 
-// admit releases a job or refuses it. Without any worker it is parked for a moment: after
-// a restart of the fleet workers are taken over within some hundred ms, and a refused
-// caller doesn't come back.
+// admit releases a job or refuses it. Without any worker, or while most are not known yet,
+// it is parked for a moment: after a restart of the fleet workers are taken over within
+// some hundred ms, and a refused caller doesn't come back.
 func (c *Coordinator) admit(now time.Duration, j *job) {
 	reason, after := c.refusal(now, j)
-	j.parked = reason == ReasonNoWorkers && now < j.parkedTo
+	j.parked = now < j.parkedTo && (reason == ReasonNoWorkers || reason == ReasonNoRoom && c.assembling(now))
 	switch {
 	case j.parked:
 	case reason != "":
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -198,3 +198,13 @@
 	}
 	return nil
 }
+
+// firstTasks returns the tasks whose turn has come.
+func (j *job) firstTasks() (list []*task.Task) {
+	for _, t := range j.tasks {
+		if j.ready(t.ID.Step) {
+			list = append(list, &t.Task)
+		}
+	}
+	return list
+}
--- a/coordinator/policy_test.go
+++ b/coordinator/policy_test.go
@@ -222,3 +222,63 @@
 	r.drain()
 	assert.Assert(t, r.answers[40].RetryAfter < 2*time.Second, "the callers of a minute ago have been here")
 }
+
+// All daemons have lost power. Callers come back all at once, when one worker of eight is
+// known; the others are taken over within some hundred ms. Jobs that find no room wait for
+// those, rather than being refused by the room of the first; one that is asked for all that
+// there are is refused as ever.
+func TestRoomThatIsAboutToBeKnown(t *testing.T) {
+	r := newRig(t)
+	r.c.Expect(8)
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: []executor.Room{roomFor("w1", 0)}, Backlog: backlogOf(2000)})
+	r.c.Submit(r.now, testJob("j", 3))
+	assert.Equal(t, len(r.offers(peerB)), 0)
+	assert.Equal(t, len(r.answers), 0)
+	var rooms []executor.Room
+	for _, w := range []string{"w1", "w2", "w3", "w4", "w5", "w6"} {
+		rooms = append(rooms, roomFor(w, 1))
+	}
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: rooms})
+	r.c.Tick(r.now)
+	assert.Equal(t, len(r.offers(peerB)), 3)
+
+	for i := range rooms {
+		rooms[i].Free = capacity.Vector{}
+	}
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: rooms, Backlog: backlogOf(20000)})
+	r.c.Submit(r.now, testJob("k", 3))
+	r.drain()
+	assert.Equal(t, r.answers[0].Reason, ReasonNoRoom)
+}
+
+// The workers that are expected don't come: the job waits where there are some, and no
+// longer for others.
+func TestExpectedRoomThatDoesNotCome(t *testing.T) {
+	r := newRig(t)
+	r.c.Expect(8)
+	r.c.SetHolder(Holder{Process: peerB, Near: 1, Rooms: []executor.Room{roomFor("w1", 0)}, Backlog: backlogOf(20000)})
+	r.c.Submit(r.now, testJob("j", 3))
+	r.now += 100 * time.Millisecond
+	r.c.Tick(r.now)
+	assert.Equal(t, len(r.offers(peerB)), 0)
+	r.now += maxPark
+	r.c.Tick(r.now)
+	assert.Equal(t, len(r.offers(peerB)), 3)
+}
+
+// Whether tasks have room is tried out by taking it: none of it may be missing afterwards.
+func TestTrialTakesNothing(t *testing.T) {
+	r := newRig(t)
+	r.holder(peerB, 1, "w1", 3)
+	for range 5 {
+		r.c.Submit(r.now, testJob("wide", 4)) // the fourth task has no room
+		r.c.Cancel(r.now, "wide")
+		r.holder(peerB, 1, "w1", 3)
+	}
+	r.offers(peerB)
+	r.holder(peerB, 1, "w1", 3)
+	j := newJob(r.now, testJob("j", 3))
+	for range 3 {
+		assert.Assert(t, r.c.rooms.fit(r.now, j.firstTasks()))
+	}
+}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lavendercleat/lavendercleat/capacity"
 	"github.com/lavendercleat/lavendercleat/executor"
 	"github.com/lavendercleat/lavendercleat/member"
 	"github.com/lavendercleat/lavendercleat/task"
@@ -86,6 +87,37 @@
 // one, with the tightest fit. Among equally near ones each task begins with another:
 // coordinators that all began with the same would take its room from each other.
 func (r *rooms) take(now time.Duration, t *task.Task) *Holder {
+	h, room := r.find(now, t)
+	if h != nil {
+		room.Free = room.Free.Minus(t.Demand)
+	}
+	return h
+}
+
+// fit reports whether there is room for all of the tasks now. It takes nothing.
+func (r *rooms) fit(now time.Duration, tasks []*task.Task) bool {
+	type taken struct {
+		room *executor.Room
+		free capacity.Vector
+	}
+	var undo []taken
+	fits := true
+	for _, t := range tasks {
+		h, room := r.find(now, t)
+		if fits = h != nil; !fits {
+			break
+		}
+		undo = append(undo, taken{room, room.Free})
+		room.Free = room.Free.Minus(t.Demand)
+	}
+	for i := len(undo) - 1; i >= 0; i-- {
+		undo[i].room.Free = undo[i].free
+	}
+	return fits
+}
+
+// find returns the executor and the worker that the task is to be offered for.
+func (r *rooms) find(now time.Duration, t *task.Task) (*Holder, *executor.Room) {
 	draw := int(drawFor(t) % (1 << 30))
 	for rest := r.holders; len(rest) > 0; {
 		n := 1
@@ -98,13 +130,27 @@
 				continue
 			}
 			if room := h.fit(t); room != nil {
-				room.Free = room.Free.Minus(t.Demand)
-				return h
+				return h, room
 			}
 		}
 		rest = rest[n:]
 	}
-	return nil
+	return nil, nil
+}
+
+// usable is the number of workers that executors in touch have told of.
+func (r *rooms) usable(now time.Duration) (n int) {
+	for _, h := range r.holders {
+		if !h.offerable(now) {
+			continue
+		}
+		for i := range h.Rooms {
+			if h.Rooms[i].Usable {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // drawFor is a pseudo-random number for an offer of the task.
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -17,6 +17,9 @@
 	if a.Verdict == OK {
 		w.read(a.Clock, now)
 	}
+	if c.Kind != CallPoll && a.Verdict != Unknown && a.Verdict != Unsent {
+		e.answers.observe(now - c.sent)
+	}
 	switch c.Kind {
 	case CallStart:
 		e.startAnswered(now, w, c, a)
@@ -179,6 +182,10 @@
 }
 
 func (e *Executor) pollAnswered(now time.Duration, w *worker, c Call, a Answer) {
+	if c.probe {
+		e.probed(now, w, a)
+		return
+	}
 	if c.look {
 		w.looking = false
 	} else {
@@ -210,7 +217,7 @@
 		}
 		switch {
 		case w.phase == acquiring:
-			w.nextPoll = now + retryAcquire
+			w.nextPoll, w.unreached = now+retryAcquire, true
 		case w.silent > 1:
 			w.nextPoll = now + lookEvery
 		}
--- a/executor/config.go
+++ b/executor/config.go
@@ -43,6 +43,10 @@
 	// yieldTime is how long a worker that another executor took is left to it, so that
 	// two daemons whose views differ for a moment don't take it from each other by turns.
 	yieldTime = 1500 * time.Millisecond
+	// reunionWait is how long a worker that can be reached again is left to the holder that it
+	// obeys: by then daemons that a partition had parted are linked again, which takes a dial
+	// that has to time out (400 ms), a pause (100 ms) and a heartbeat each way.
+	reunionWait = 700 * time.Millisecond
 	// lookEvery is the pause between attempts to learn what became of an order.
 	lookEvery = 120 * time.Millisecond
 	// maxRunJump bounds the search for a run number above those a worker has seen.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -23,6 +23,8 @@
 	workers map[string]*worker
 	order   []*worker // by ID, for repeatable decisions
 	queue   []*queued
+	// answers is how long workers take to answer orders.
+	answers answerTime
 	out     Output
 }
 
@@ -209,7 +211,7 @@
 }
 
 func (e *Executor) call(now time.Duration, w *worker, c Call) {
-	c.Worker, c.Address, c.Token, c.sent = w.info.ID, w.info.Address, w.token, now
+	c.Worker, c.Address, c.Token, c.sent, c.Timeout = w.info.ID, w.info.Address, w.token, now, e.answers.limit()
 	if c.Deadline > w.granted {
 		w.granted = c.Deadline
 	}
--- /dev/null
+++ b/executor/latency.go
@@ -0,0 +1,40 @@
+package executor
+
+import "time"
+
+const (
+	// maxOrderTime is how long an answer to a start or a stop is waited for at most. What was
+	// lost, or comes late, is asked after by a look at the worker's lists, which costs little.
+	maxOrderTime = 150 * time.Millisecond
+	// minOrderTime is the least such time: a worker takes a few ms, and a daemon on a fifth of
+	// a core may stand still for some tens.
+	minOrderTime = 60 * time.Millisecond
+	// answerGain and deviationGain are the weights of one answer in the mean time and in the
+	// mean deviation, deviations how many of these are added; as TCP does for its round trips,
+	// with two more, as an order that is given up costs its connection too.
+	answerGain    = 0.125
+	deviationGain = 0.25
+	deviations    = 6
+)
+
+// answerTime is how long workers take to answer orders. Orders that are not answered are
+// found out by it: a tenth of a second sooner is, for jobs of some hundred ms, the
+// difference between on time and late. The zero value knows nothing.
+type answerTime struct{ mean, deviation time.Duration }
+
+func (a *answerTime) observe(d time.Duration) {
+	if a.mean == 0 {
+		a.mean, a.deviation = d, d/2
+		return
+	}
+	a.deviation += time.Duration(deviationGain * float64((d-a.mean).Abs()-a.deviation))
+	a.mean += time.Duration(answerGain * float64(d-a.mean))
+}
+
+// limit is how long an answer is waited for.
+func (a *answerTime) limit() time.Duration {
+	if a.mean == 0 {
+		return maxOrderTime
+	}
+	return min(max(a.mean+deviations*a.deviation, minOrderTime), maxOrderTime)
+}
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -49,8 +49,12 @@
 	Acknowledge uint64
 	// Wait is how long the worker may hold a poll until something ends.
 	Wait time.Duration
+	// Timeout is how long the answer to a start or a stop is waited for.
+	Timeout time.Duration
 	// look marks a poll beside the standing one.
 	look bool
+	// probe marks a poll without a token, which the worker doesn't obey.
+	probe bool
 	// sent is when the call was emitted.
 	sent time.Duration
 }
--- a/executor/polls.go
+++ b/executor/polls.go
@@ -65,14 +65,38 @@
 	e.lapseIdle(now, w)
 }
 
-// acquire takes a worker by a token above all that this process has used.
+// acquire takes a worker by a token above all that this process has used. One that could
+// not be reached before is asked first whether it obeys another holder.
 func (e *Executor) acquire(now time.Duration, w *worker) {
+	w.polling = true
+	if w.unreached {
+		e.out.Calls = append(e.out.Calls, Call{Kind: CallPoll, Worker: w.info.ID, Address: w.info.Address, probe: true, sent: now})
+		return
+	}
 	w.phase = acquiring
 	w.token = max(e.config.TokenSource(), w.token+1)
-	w.polling = true
 	e.call(now, w, Call{Kind: CallPoll})
 }
 
+// probed takes the answer of a worker that could not be reached before. If it obeys another
+// holder, a partition may just have ended: the holder has gone on beside it, and is linked
+// again in a moment. Taken at once, the worker would be given back then, and what ran there
+// would be stopped, as its coordinators are not linked yet and can't claim it.
+func (e *Executor) probed(now time.Duration, w *worker, a Answer) {
+	w.polling = false
+	switch a.Verdict {
+	case OK:
+		w.unreached, w.nextPoll = false, now
+	case Fenced:
+		w.unreached, w.nextPoll = false, now+reunionWait
+	case Replaced:
+		w.unreached = false
+		e.workerDied(now, w)
+	default:
+		w.nextPoll = now + retryAcquire
+	}
+}
+
 // lapsed reports the runs of a worker that is not heard from and whose leases are over.
 func (e *Executor) lapsed(now time.Duration, w *worker) {
 	e.event("lease_lapsed", w, nil, fmt.Sprintf("runs=%d silent=%s", len(w.runs), now-w.clock.at))
--- a/executor/takeover_test.go
+++ b/executor/takeover_test.go
@@ -177,3 +177,45 @@
 	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, mine.ID, 3, "stopped")}})
 	assert.Equal(t, r.outcomes(ownerA, mine.ID), "gone ")
 }
+
+// A failure domain was cut off, with its daemons and workers. Beyond the cut other daemons
+// tried to take the workers over and didn't reach them. When the cut ends, a worker says
+// that it obeys its holder, and is left to it until the links are back: taken at once, what
+// it runs would be stopped, and its callers would wait for nothing.
+func TestWorkerBeyondAPartitionIsLeftToItsHolder(t *testing.T) {
+	r := newRig(t)
+	r.e.SetWorkers(r.now, []WorkerInfo{workerNamed("w1")})
+	r.pass(testStop)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Unsent})
+	r.pass(retryAcquire)
+	probe := r.take(CallPoll, "w1")
+	assert.Equal(t, probe.Token, uint64(0), "a poll that is obeyed takes the worker")
+	r.answer(probe, Answer{Verdict: Unknown})
+	r.pass(retryAcquire)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Fenced})
+	r.pass(reunionWait / 2)
+	assert.Assert(t, !r.has(CallPoll))
+	r.e.SetWorkers(r.now, nil) // the links are back
+	r.pass(2 * reunionWait)
+	assert.Assert(t, !r.has(CallPoll))
+}
+
+// The holder of a worker that can be reached again does not come back: the worker is taken.
+func TestWorkerOfALostHolderIsTakenLater(t *testing.T) {
+	r := newRig(t)
+	r.e.SetWorkers(r.now, []WorkerInfo{workerNamed("w1"), workerNamed("w2")})
+	r.pass(testStop)
+	for _, id := range []string{"w1", "w2"} {
+		r.answer(r.take(CallPoll, id), Answer{Verdict: Unsent})
+	}
+	r.pass(retryAcquire)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Fenced})
+	r.answer(r.take(CallPoll, "w2"), Answer{Verdict: OK, Clock: r.clock()})
+	r.pass(50 * time.Millisecond)
+	assert.Assert(t, r.take(CallPoll, "w2").Token > 0, "nobody holds it")
+	r.pass(reunionWait)
+	c := r.take(CallPoll, "w1")
+	assert.Assert(t, c.Token > 0)
+	r.answer(c, Answer{Verdict: OK, Clock: r.clock()})
+	assert.Equal(t, len(r.e.Rooms(r.now)), 1)
+}
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -85,6 +85,8 @@
 	unsettled map[uint64]heldEnd
 	runs      map[task.ID]*run
 	used      capacity.Vector
+	// unreached: the last attempt to take it got no answer.
+	unreached bool
 	// polling and looking: a standing poll or an extra one is under way.
 	polling, looking bool
 	// nextPoll is when an unheld worker is polled again, nextLook when a doubt is looked into.
--- a/fleet/cells.go
+++ b/fleet/cells.go
@@ -90,15 +90,31 @@
 		if sizes == nil {
 			sizes = total
 		}
-		slices.SortFunc(pool, func(a, b executor.WorkerInfo) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
-		})
+		sortByHash(pool)
 		from, to := share(len(pool), sizes, cell)
 		own = append(own, pool[from:to]...)
 	}
 	return own
 }
 
+// sortByHash puts workers into an order that has nothing to do with their names.
+func sortByHash(pool []executor.WorkerInfo) {
+	type keyed struct {
+		key  uint64
+		info executor.WorkerInfo
+	}
+	list := make([]keyed, len(pool))
+	for i, w := range pool {
+		list[i] = keyed{xxhash.Sum64String(w.ID), w}
+	}
+	slices.SortFunc(list, func(a, b keyed) int {
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	for i := range list {
+		pool[i] = list[i].info
+	}
+}
+
 // share returns the part of n things that goes to a place, by the sizes of all places.
 func share(n int, sizes []float64, place int) (from, to int) {
 	total, before := 0.0, 0.0
--- a/internal/node/entries.go
+++ b/internal/node/entries.go
@@ -25,16 +25,17 @@
 	// their shares of the workers are concerned. It may be about to start again, or all
 	// entries may have lapsed with the store; each change moves workers between cells.
 	daemonGrace = 15 * time.Second
-	// goneMemory is how long the end of an entry is remembered: what was read before it may
-	// come later, from another daemon.
-	goneMemory = 10 * time.Second
+	// goneMemory is how long the end of a worker's entry is remembered: what was read before
+	// it may come later, from another daemon, and a daemon that was cut off asks for what has
+	// ended meanwhile.
+	goneMemory = time.Minute
 )
 
 // knownWorker is a worker's entry in the registry.
 type knownWorker struct {
 	info executor.WorkerInfo
-	// revision is that of the entry.
-	revision int64
+	// revision is that of the entry, changed that of its last change that was no renewal.
+	revision, changed int64
 	// missing is when the entry vanished in the wake of an outage of the store, and
 	// missingSince the revision by which it did; 0: it is there.
 	missing      time.Duration
@@ -54,8 +55,10 @@
 
 // goneWorker is the end of a worker's entry.
 type goneWorker struct {
-	revision int64
-	at       time.Duration
+	// revision is that of the end, told the one up to which peers had been told when the
+	// worker was judged to be gone by it.
+	revision, told int64
+	at             time.Duration
 }
 
 // takeEntries takes entries of workers and daemons that this daemon has read itself, and
@@ -76,7 +79,7 @@
 		n.takeDaemons(now, daemons)
 	}
 	if changed {
-		n.reassign(now)
+		n.reassign()
 	}
 	n.passOn()
 }
@@ -85,7 +88,7 @@
 // gone judges whether a worker has left whose entry has vanished.
 func (n *Node) takeWorkers(now time.Duration, items []registry.Item, gone func(id string) bool) bool {
 	f := &n.fleet
-	changed := false
+	changed, before := false, len(f.workers)
 	for _, i := range items {
 		if f.outdated(i) {
 			continue
@@ -102,6 +105,9 @@
 		}
 		changed = n.takeWorker(i) || changed
 	}
+	if len(f.workers) != before {
+		n.log.WithFields(logrus.Fields{"event": "workers_known", "workers": len(f.workers), "before": before}).Info()
+	}
 	return changed
 }
 
@@ -121,9 +127,9 @@
 	}
 	known := f.workers[i.ID]
 	if known == nil {
-		f.workers[i.ID] = &knownWorker{info: info, content: i.Content, revision: i.Revision}
+		f.workers[i.ID] = &knownWorker{info: info, content: i.Content, revision: i.Revision, changed: i.Revision}
 		f.relay.note(i)
-		n.log.WithFields(logrus.Fields{"event": "worker_known", "worker": i.ID, "domain": info.Domain, "service": info.Service, "milli_cpu": info.Capacity.MilliCPU}).Info()
+		n.log.WithFields(logrus.Fields{"event": "worker_known", "worker": i.ID, "domain": info.Domain, "service": info.Service, "milli_cpu": info.Capacity.MilliCPU}).Debug()
 		return true
 	}
 	if known.info.Draining != info.Draining {
@@ -132,6 +138,7 @@
 	changed := known.info.Draining != info.Draining || known.info.Capacity != info.Capacity || known.missing > 0
 	if changed || known.info.Address != info.Address || known.info.Service != info.Service || known.info.Domain != info.Domain ||
 		!slices.Equal(known.info.Labels, info.Labels) {
+		known.changed = i.Revision
 		f.relay.note(i)
 	}
 	known.info, known.content, known.revision, known.missing = info, i.Content, i.Revision, 0
@@ -141,7 +148,7 @@
 // remove forgets a worker that has left.
 func (f *fleetView) remove(now time.Duration, id string, revision int64) {
 	delete(f.workers, id)
-	f.gone[id] = goneWorker{revision, now}
+	f.gone[id] = goneWorker{revision: revision, told: max(revision, f.relay.known), at: now}
 	f.relay.note(registry.Item{Kind: registry.Worker, ID: id, Revision: revision, Deleted: true})
 }
 
@@ -171,6 +178,7 @@
 	for id, g := range f.gone {
 		if now-g.at >= goneMemory {
 			delete(f.gone, id)
+			f.forgotten = max(f.forgotten, g.told)
 		}
 	}
 	return changed
@@ -218,7 +226,7 @@
 		}
 	}
 	if f.cells.Count() > 1 {
-		n.reassign(now) // cells share the workers by their sizes
+		n.reassign() // cells share the workers by their sizes
 	}
 }
 
@@ -232,6 +240,7 @@
 	for id, d := range f.daemons {
 		if d.gone > 0 && now-d.gone >= daemonGrace {
 			delete(f.daemons, id)
+			f.forgotten = max(f.forgotten, d.revision)
 			f.departed--
 			dropped = true
 		}
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -15,10 +15,17 @@
 )
 
 const (
-	// settleTime is how long a new process waits at most for its peers to be up or found
-	// gone before it takes workers over: without it each new process would take every
-	// worker for itself first.
+	// settleTime is how long a new process that can't read which daemons there are waits at
+	// most for its peers to be up or found gone before it takes workers over: without it each
+	// new process would take every worker for itself first.
 	settleTime = 600 * time.Millisecond
+	// assumeTime is how long after its start a daemon takes those that have an entry, and that
+	// it is not linked with yet, for members: all may have lost power at once, and start
+	// within 0.3 s of each other. Each takes its own part of the workers at once then.
+	assumeTime = time.Second
+	// assembleTime is how long after its start a daemon waits for news of most workers before
+	// it refuses jobs for want of room. It bounds the wait where some workers are never taken.
+	assembleTime = 3 * time.Second
 	// minorityWait is how long a daemon that has lost half of its peers to silence
 	// leaves their workers alone: it is more likely cut off itself, and would take
 	// workers from holders that go on serving.
@@ -56,13 +63,18 @@
 	cells   fleet.Cells
 	cell    int
 	settled bool
+	// listed: the store has told which daemons there are; assuming: those count as members
+	// before they are linked.
+	listed, assuming bool
+	// divide: the workers are to be divided anew.
+	divide bool
 	// interval is the time between this daemon's heartbeats, as peers were last told.
 	interval time.Duration
 	// outage is when the store last failed.
 	outage time.Duration
 	relay  relay
-	// askedLast is the reader that was last asked for all entries.
-	askedLast member.Process
+	// forgotten is the latest revision of an end of an entry that is not remembered any more.
+	forgotten int64
 }
 
 func newFleetView() fleetView {
@@ -159,12 +171,25 @@
 			list = append(list, fleet.Member{Process: k.Process, Domain: k.Domain, Weight: k.Weight})
 		}
 	}
+	if now < assumeTime {
+		list = append(list, f.unlinked(self)...)
+	}
 	if !stopping || len(list) == 0 {
 		list = append(list, fleet.Member{Process: self.Process, Domain: self.Domain, Weight: self.Weight})
 	}
 	return list
 }
 
+// unlinked are the daemons of this cell that have an entry and were not linked yet.
+func (f *fleetView) unlinked(self mesh.Peer) (list []fleet.Member) {
+	for _, d := range f.daemons {
+		if d.Address != self.Address && d.gone == 0 && f.up[d.Address] == nil && f.inCell(d.Address) {
+			list = append(list, fleet.Member{Process: member.Process{Address: d.Address}, Domain: d.Domain, Weight: d.Weight})
+		}
+	}
+	return list
+}
+
 // places returns where the daemons are that are known, this one too; those whose entries
 // have vanished lately are still among them.
 func (f *fleetView) places(self mesh.Peer) []fleet.Place {
@@ -212,9 +237,16 @@
 		n.fitCells(now)
 		changed = true
 	}
-	n.askForCopy(now)
-	if !f.settled && len(f.workers) > 0 && (n.mesh.Settled() || now >= settleTime) {
-		f.settled = true
+	n.askReader(now)
+	if now >= assembleTime {
+		n.coordinator.Expect(0)
+	}
+	if !f.settled && len(f.workers) > 0 && (f.listed || n.mesh.Settled() || now >= settleTime) {
+		f.settled, f.assuming = true, true
+		changed = true
+	}
+	if f.assuming && now >= assumeTime {
+		f.assuming = false
 		changed = true
 	}
 	for _, k := range f.up {
@@ -223,26 +255,35 @@
 		}
 	}
 	switch {
-	case changed:
-		n.reassign(now)
+	case changed, f.divide:
+		n.divideWorkers(now)
 	case f.settled:
 		// Workers that left with something running are dropped once it has ended.
 		n.executor.Remove(now, func(id string) bool { return f.workers[id] == nil })
 	}
 }
 
-// reassign divides the workers anew. The lock is held.
-func (n *Node) reassign(now time.Duration) {
+// reassign has the workers divided anew with the next tick: what changes comes in bursts,
+// at a start a new peer every few ms, and dividing a thousand workers takes a small machine
+// several. The lock is held.
+func (n *Node) reassign() { n.fleet.divide = true }
+
+// divideWorkers divides the workers among the members that this daemon sees. The lock is held.
+func (n *Node) divideWorkers(now time.Duration) {
 	f := &n.fleet
-	if !f.settled {
-		return
-	}
+	f.divide = false
 	all := make([]executor.WorkerInfo, 0, len(f.workers))
 	for _, w := range f.workers {
 		all = append(all, w.info)
 		n.executor.Update(w.info)
 	}
 	all = f.cells.Workers(f.cell, all, f.places(n.self))
+	if now < assembleTime {
+		n.coordinator.Expect(len(all))
+	}
+	if !f.settled {
+		return
+	}
 	holders := fleet.Assign(all, f.members(now, n.self, n.stopping.Load()))
 	var own []executor.WorkerInfo
 	for _, w := range all {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -83,11 +83,17 @@
 		return revision
 	}
 	for ctx.Err() == nil {
-		known, current := f.n.relayed()
-		if !current {
+		known, step := f.n.pursue()
+		switch step {
+		case registry.Rely:
+			sleep(ctx, followPace/2)
+		case registry.Wait:
+			sleep(ctx, 2*tickEvery)
+		case registry.ReadAll:
+			return 0
+		default:
 			return max(revision, known)
 		}
-		sleep(ctx, followPace/2)
 	}
 	return revision
 }
@@ -132,7 +138,7 @@
 	}
 	f.n.do(func(now time.Duration) {
 		r := &f.n.fleet.relay
-		r.known, r.readAt = max(r.known, revision), now
+		r.known, r.readAt, r.knownAt = max(r.known, revision), now, now
 		f.n.takeEntries(now, items)
 	})
 }
--- a/internal/node/interfaces.go
+++ b/internal/node/interfaces.go
@@ -26,7 +26,9 @@
 	// Configuration and Fleet are feeds of the operator's configuration and of the entries
 	// of workers and daemons.
 	Configuration, Fleet registry.Feed
-	Registrar            registry.Registrar
+	// Daemons are the entries of daemons alone, read once at the start.
+	Daemons   registry.Feed
+	Registrar registry.Registrar
 	// Ledger is where accepted jobs are kept.
 	Ledger ledger.Store
 	// DecodeConfiguration and DecodeWorker decode entries of the feeds.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,8 @@
 
 	table    atomic.Pointer[routing.Table]
 	stopping atomic.Bool
+	// placed: it is known which cell this daemon is of, or can't be known.
+	placed atomic.Bool
 	// closing: no more jobs are accepted to be kept.
 	closing atomic.Bool
 
@@ -119,7 +121,7 @@
 // Start begins to serve.
 func (n *Node) Start(context.Context) error {
 	n.mesh.Start()
-	n.mesh.Know(n.config.Seeds...)
+	n.wg.Go(n.findPeers)
 	n.wg.Go(n.ticks)
 	n.wg.Go(func() { n.follow(n.platform.Configuration, configurationPace) })
 	n.wg.Go(func() { n.follow(n.platform.Fleet, fleetPace) })
@@ -137,7 +139,7 @@
 func (n *Node) Drain(ctx context.Context) {
 	n.stopping.Store(true)
 	n.log.WithField("event", "stopping").Info()
-	n.do(func(now time.Duration) { n.reassign(now) })
+	n.do(n.divideWorkers)
 	sleep(ctx, n.config.StopDelay)
 	n.closing.Store(true)
 	n.drain(ctx)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -48,6 +49,38 @@
 	})
 }
 
+// findWait is how long a new process waits at most for the list of daemons before it links
+// those that seeds and peers name. The store answers within some ms, or is away.
+const findWait = 300 * time.Millisecond
+
+// findPeers links the daemons of this daemon's cell. After a loss of power of a whole large
+// fleet all daemons would first link with all that the seeds name, those of other cells too,
+// which would take small machines half a second.
+func (n *Node) findPeers() {
+	ctx, cancel := context.WithTimeout(n.ctx, findWait)
+	defer cancel()
+	items, _, err := n.platform.Daemons.Read(ctx)
+	if err != nil {
+		n.storeFailed("daemons", err)
+	} else {
+		n.do(func(now time.Duration) {
+			n.takeDaemons(now, items)
+			n.fleet.listed = len(n.fleet.places(n.self)) > 1
+		})
+	}
+	n.placed.Store(true)
+	n.mesh.Know(n.config.Seeds...)
+}
+
+// knowNamed links daemons that a peer names, unless they are of another cell.
+func (n *Node) knowNamed(addresses []string) {
+	for _, text := range addresses {
+		if a, err := netip.ParseAddrPort(text); err == nil && a != n.self.Address {
+			n.mesh.Know(a)
+		}
+	}
+}
+
 // peerHandler is the node as the mesh sees it.
 type peerHandler Node
 
@@ -57,7 +90,7 @@
 	n.log.WithFields(logrus.Fields{"event": "peer_up", "peer": p.Name, "incarnation": p.Incarnation}).Info()
 	n.do(func(now time.Duration) {
 		n.fleet.peerUp(p)
-		n.reassign(now)
+		n.reassign()
 	})
 }
 
@@ -71,7 +104,7 @@
 		n.coordinator.HolderLost(now, p.Process)
 		n.ownerLost(now, p)
 		n.executor.OwnerLost(now, p.Process)
-		n.reassign(now)
+		n.reassign()
 	})
 }
 
@@ -105,10 +138,8 @@
 // Pulsed implements mesh.Handler.
 func (h *peerHandler) Pulsed(p mesh.Peer, pulse *schema.Pulse) {
 	n := (*Node)(h)
-	for _, text := range pulse.GetPeers() {
-		if a, err := netip.ParseAddrPort(text); err == nil && a != n.self.Address {
-			n.mesh.Know(a) // of another cell it is not linked
-		}
+	if n.placed.Load() {
+		n.knowNamed(pulse.GetPeers())
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -123,7 +154,7 @@
 	holder.Heard = n.clock.now()
 	n.coordinator.SetHolder(holder)
 	if n.fleet.pulsed(holder.Heard, p, pulse) {
-		n.reassign(n.clock.now())
+		n.reassign()
 	}
 }
 
@@ -183,6 +214,6 @@
 	case *schema.Frame_Registry:
 		n.from(p, func(now time.Duration) { n.takeRegistry(now, p, b.Registry) })
 	case *schema.Frame_RegistryRequest:
-		n.from(p, func(now time.Duration) { n.copyAsked(now, p, b.RegistryRequest) })
+		n.from(p, func(now time.Duration) { n.readerAsked(now, p, b.RegistryRequest) })
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -11,25 +11,28 @@
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
-// askCopyEvery is the pause between two questions for all entries: with 1,100 workers they
-// take 90 ms on a link of 25 Mbit/s.
-const askCopyEvery = time.Second
+// askEvery is the pause between two questions for what this daemon lacks: all entries, of
+// 1,100 workers, take 90 ms on a link of 25 Mbit/s.
+const askEvery = 400 * time.Millisecond
 
 // relay is a daemon's part in the reading of the store's entries: a few read them for all
 // (package registry). Guarded by the node's lock.
 type relay struct {
 	// known is the store's revision up to which all changes are known here.
 	known int64
-	// readAt is when the store last answered a read of this daemon's own.
-	readAt time.Duration
+	// readAt is when the store last answered a read of this daemon's own, knownAt when all was
+	// last known, by reading or by being told.
+	readAt, knownAt time.Duration
+	pursuit         registry.Pursuit
 	// reader: this daemon reads for others; term counts how often it began to, at beganAt.
 	reader  bool
 	term    uint32
 	beganAt time.Duration
 	// news are entries that have changed since they were last passed on.
 	news []*schema.EntryRecord
-	// askedAt is when a reader was last asked for all entries.
+	// askedAt is when a reader was last asked, and asked which one.
 	askedAt time.Duration
+	asked   member.Process
 	copies  registry.Copies
 }
 
@@ -91,18 +94,37 @@
 		return
 	}
 	r.known = k.chain.Heard(now, r.known, k.told)
+	if k.chain.Current(now) {
+		r.knownAt = max(r.knownAt, now-k.told.Age)
+	}
 }
 
-// relayed returns the revision up to which all is known here, and whether this daemon can
-// rely on others to read.
-func (n *Node) relayed() (known int64, current bool) {
+// pursue returns the revision up to which all is known here, and how this daemon is to
+// learn of later changes.
+func (n *Node) pursue() (known int64, step registry.Step) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now, r := n.clock.now(), &n.fleet.relay
-	if r.reader || !registry.Relayed(n.fleet.live()) && !n.documents.lost(now) {
-		return r.known, false
+	step = r.pursuit.Next(now, registry.Situation{
+		Reader: r.reader, Wide: n.fleet.wide(), StoreLost: n.documents.lost(now),
+		Current: n.fleet.reliedOn(now), Offered: n.fleet.ahead() != nil, KnownAt: r.knownAt,
+	})
+	return r.known, step
+}
+
+// wide reports whether some daemons read for all.
+func (f *fleetView) wide() bool { return registry.Relayed(f.live()) }
+
+// ahead returns a reader that knows more than this daemon; nil when there is none. It is
+// another one than was asked last, if there are two.
+func (f *fleetView) ahead() *knownPeer {
+	var found *knownPeer
+	for _, k := range f.up {
+		if k.up && k.told.Revision > f.relay.known && (found == nil || found.Process == f.relay.asked) {
+			found = k
+		}
 	}
-	return r.known, n.fleet.reliedOn(now)
+	return found
 }
 
 // reliedOn reports whether there is a reader that this daemon can rely on.
@@ -130,43 +152,70 @@
 	r.news = nil
 }
 
-// askForCopy asks a reader for all entries where the store turns this daemon away and it
-// doesn't know enough to rely on the reader's changes. The lock is held.
-func (n *Node) askForCopy(now time.Duration) {
+// askReader asks a reader for what this daemon lacks, if it can't rely on one already. The
+// lock is held.
+func (n *Node) askReader(now time.Duration) {
 	r := &n.fleet.relay
-	if !n.documents.lost(now) || now-r.askedAt < askCopyEvery && r.askedAt > 0 || n.fleet.reliedOn(now) {
+	lost := n.documents.lost(now)
+	starting := r.known == 0 && !lost // it reads by itself
+	if r.reader || starting || !lost && !n.fleet.wide() || r.askedAt > 0 && now-r.askedAt < askEvery || n.fleet.reliedOn(now) {
 		return
 	}
-	for _, k := range n.fleet.up {
-		if k.up && k.told.Revision > r.known && k.Process != n.fleet.askedLast {
-			r.askedAt, n.fleet.askedLast = now, k.Process
-			n.log.WithFields(logrus.Fields{"event": "entries_asked_for", "peer": k.Name, "revision": r.known}).Info()
-			n.mesh.Send(k.Process, &schema.Frame{Body: &schema.Frame_RegistryRequest{RegistryRequest: &schema.RegistryRequest{Revision: r.known}}})
+	k := n.fleet.ahead()
+	if k == nil {
+		return
+	}
+	r.askedAt, r.asked = now, k.Process
+	n.log.WithFields(logrus.Fields{"event": "entries_asked_for", "peer": k.Name, "revision": r.known, "age_ms": (now - r.knownAt).Milliseconds()}).Info()
+	n.mesh.Send(k.Process, &schema.Frame{Body: &schema.Frame_RegistryRequest{RegistryRequest: &schema.RegistryRequest{Revision: r.known}}})
+}
+
+// readerAsked sends a peer what has changed since it last knew all; where that is too long
+// ago to be told, all entries. One that gets none of these asks another reader. The lock is
+// held.
+func (n *Node) readerAsked(now time.Duration, p mesh.Peer, q *schema.RegistryRequest) {
+	r, since := &n.fleet.relay, q.GetRevision()
+	if !r.reader || r.readAt <= r.beganAt || since >= r.known {
+		return
+	}
+	out := &schema.Registry{Revision: r.known, Term: r.term, Since: since}
+	if since == 0 || since < n.fleet.forgotten {
+		if !r.copies.Take(now) {
 			return
 		}
+		out.Since, out.Complete = 0, true
 	}
-	n.fleet.askedLast = member.Process{}
+	out.Entries = n.fleet.changedSince(out.Since, out.Complete)
+	n.mesh.Send(p.Process, &schema.Frame{Body: &schema.Frame_Registry{Registry: out}})
 }
 
-// copyAsked sends all entries to a peer. One that gets none asks another reader. The lock
-// is held.
-func (n *Node) copyAsked(now time.Duration, p mesh.Peer, q *schema.RegistryRequest) {
-	r := &n.fleet.relay
-	if !r.reader || r.readAt <= r.beganAt || q.GetRevision() >= r.known || !r.copies.Take(now) {
-		return
+// changedSince returns the entries that have changed after a revision, and those that ended
+// where they are not all told.
+func (f *fleetView) changedSince(revision int64, all bool) (list []*schema.EntryRecord) {
+	for id, w := range f.workers {
+		if w.missing == 0 && w.changed > revision {
+			list = append(list, recordOf(registry.Item{Kind: registry.Worker, ID: id, Content: w.content, Revision: w.revision}))
+		}
 	}
-	out := &schema.Registry{Revision: r.known, Term: r.term, Complete: true}
-	for id, w := range n.fleet.workers {
-		if w.missing == 0 {
-			out.Entries = append(out.Entries, recordOf(registry.Item{Kind: registry.Worker, ID: id, Content: w.content, Revision: w.revision}))
+	for id, d := range f.daemons {
+		if d.gone == 0 && d.revision > revision {
+			list = append(list, recordOf(registry.Item{Kind: registry.Daemon, ID: id, Content: d.content, Revision: d.revision}))
 		}
 	}
-	for id, d := range n.fleet.daemons {
-		if d.gone == 0 {
-			out.Entries = append(out.Entries, recordOf(registry.Item{Kind: registry.Daemon, ID: id, Content: d.content, Revision: d.revision}))
+	if all {
+		return list
+	}
+	for id, g := range f.gone {
+		if g.told > revision {
+			list = append(list, recordOf(registry.Item{Kind: registry.Worker, ID: id, Revision: g.revision, Deleted: true}))
 		}
 	}
-	n.mesh.Send(p.Process, &schema.Frame{Body: &schema.Frame_Registry{Registry: out}})
+	for id, d := range f.daemons {
+		if d.gone > 0 && d.revision > revision {
+			list = append(list, recordOf(registry.Item{Kind: registry.Daemon, ID: id, Revision: d.revision, Deleted: true}))
+		}
+	}
+	return list
 }
 
 // takeRegistry takes what a peer has read in the store. The lock is held.
@@ -185,11 +234,13 @@
 			daemons = append(daemons, i)
 		}
 	}
-	if g.GetComplete() {
-		if g.GetRevision() <= r.known || !n.documents.lost(now) {
+	if g.GetRevision() > 0 {
+		if g.GetRevision() <= r.known || r.known < g.GetSince() {
 			return
 		}
-		workers = append(workers, n.fleet.unlisted(workers, g.GetRevision())...)
+		if g.GetComplete() {
+			workers = append(workers, n.fleet.unlisted(workers, g.GetRevision())...)
+		}
 		r.known = g.GetRevision()
 		n.fleet.up[p.Address].chain.Copied(g.GetTerm())
 	}
@@ -199,7 +250,7 @@
 		n.takeDaemons(now, daemons)
 	}
 	if changed {
-		n.reassign(now)
+		n.reassign()
 	}
 }
 
--- a/registry/feed.go
+++ b/registry/feed.go
@@ -77,7 +77,8 @@
 // Follower takes what Follow learns.
 type Follower interface {
 	// Await returns when the feed is to be watched, and the revision up to which all is
-	// known then: that of the last call, or a later one that was learned otherwise.
+	// known then: that of the last call, or a later one that was learned otherwise; 0 asks
+	// for a new Read.
 	Await(ctx context.Context, revision int64) int64
 	// Snapshot takes all entries, and the revision up to which all is known by them.
 	Snapshot(items []Item, revision int64)
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -17,6 +17,13 @@
 	// relayFrom is the number of linked daemons from which on the others stop to read. In
 	// smaller fleets the two would be a good part of all.
 	relayFrom = 12
+	// askPatience is how long a daemon waits for what it has asked of a reader before it reads
+	// by itself, and seekPatience for a reader to be in sight at all.
+	askPatience  = 700 * time.Millisecond
+	seekPatience = 300 * time.Millisecond
+	// renewal is how often workers renew their entries. What happened in a longer time takes
+	// longer to read than all entries do.
+	renewal = 1500 * time.Millisecond
 	// chainPatience is how old a reader's last word from the store may be before a daemon
 	// reads by itself. A watch and the heartbeat that tells of it take 0.9 s when nothing
 	// changes; with a read of its own, the daemon learns of a draining worker within 2 s.
@@ -103,3 +110,64 @@
 func (c *Chain) Current(now time.Duration) bool {
 	return c.joined && c.at > 0 && now-c.at <= chainPatience
 }
+
+// Step is how a daemon learns next of what has changed.
+type Step uint8
+
+// Steps.
+const (
+	// Rely: a reader tells of changes.
+	Rely Step = iota + 1
+	// Wait: a reader is asked, or may come into sight.
+	Wait
+	// Watch: the daemon reads what has happened since it last knew all.
+	Watch
+	// ReadAll: it reads all entries.
+	ReadAll
+)
+
+// Situation is what a daemon knows of itself and of readers.
+type Situation struct {
+	// Reader: it reads for others.
+	Reader bool
+	// Wide: the fleet is one in which some read for all.
+	Wide bool
+	// StoreLost: the store doesn't answer this daemon.
+	StoreLost bool
+	// Current: there is a reader to rely on.
+	Current bool
+	// Offered: a reader is in sight that knows more.
+	Offered bool
+	// KnownAt is when the daemon last knew all.
+	KnownAt time.Duration
+}
+
+// Pursuit decides how a daemon learns of changes. When a failure domain that was cut off is
+// linked again, all of its daemons lack seconds of history at once. Were each to watch the
+// store from where it was, the answer, of renewals of all workers for the most part, would
+// fill its link for as long as a second, while callers wait for what runs; a reader's answer
+// is a few entries. The zero value begins it.
+type Pursuit struct{ since time.Duration }
+
+// Next returns the next step.
+func (p *Pursuit) Next(now time.Duration, s Situation) Step {
+	if s.Current && !s.Reader && (s.Wide || s.StoreLost) {
+		p.since = 0
+		return Rely
+	}
+	if p.since == 0 {
+		p.since = now
+	}
+	patience := seekPatience
+	if s.Offered {
+		patience = askPatience
+	}
+	if s.Wide && !s.Reader && now-p.since < patience {
+		return Wait
+	}
+	p.since = 0
+	if now-s.KnownAt > renewal {
+		return ReadAll
+	}
+	return Watch
+}
--- a/registry/relay_test.go
+++ b/registry/relay_test.go
@@ -124,3 +124,23 @@
 	c.Copied(2)
 	assert.Equal(t, c.Heard(now, 14, Told{Revision: 15, Term: 2}), int64(15))
 }
+
+// A cut has ended, and a daemon lacks seconds of history. It asks a reader, and reads by
+// itself, all entries, when it gets no answer; without a reader in sight sooner.
+func TestPursuitAfterACut(t *testing.T) {
+	var p Pursuit
+	s := Situation{Wide: true, Offered: true}
+	now := 10 * time.Second
+	assert.Equal(t, p.Next(now, s), Wait)
+	assert.Equal(t, p.Next(now+askPatience-1, s), Wait)
+	assert.Equal(t, p.Next(now+askPatience, s), ReadAll)
+	now += time.Second
+	s.Offered, s.KnownAt = false, now
+	assert.Equal(t, p.Next(now, s), Wait)
+	assert.Equal(t, p.Next(now+seekPatience, s), Watch)
+	s.Current = true
+	assert.Equal(t, p.Next(now, s), Rely)
+	s.Reader = true
+	assert.Equal(t, p.Next(now, s), Watch, "others rely on it")
+	assert.Equal(t, p.Next(now, Situation{KnownAt: now}), Watch, "in a small fleet each reads by itself")
+}
