--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -19,6 +19,9 @@
 	// most for its peers to be up or found gone before it takes workers over: without it each
 	// new process would take every worker for itself first.
 	settleTime = 600 * time.Millisecond
+	// listedSettleTime is the same for a process that knows which daemons there are: links to
+	// live ones take some tens of ms, and all start within 0.3 s after a loss of power.
+	listedSettleTime = 350 * time.Millisecond
 	// assumeTime is how long after its start a daemon takes those that have an entry, and that
 	// it is not linked with yet, for members: all may have lost power at once, and start
 	// within 0.3 s of each other. Each takes its own part of the workers at once then.
@@ -250,7 +253,7 @@
 	if now >= assembleTime {
 		n.coordinator.Expect(0)
 	}
-	if !f.settled && len(f.workers) > 0 && (f.listed || n.mesh.Settled() || now >= settleTime) {
+	if !f.settled && len(f.workers) > 0 && n.maySettle(now) {
 		f.settled, f.assuming = true, true
 		changed = true
 	}
@@ -272,6 +275,18 @@
 	}
 }
 
+// maySettle reports whether a new process may take workers over. Coordinators that it is
+// not linked with could not claim what runs there, and it would be stopped; so it waits for
+// all daemons that there are, but not for long for those that may have lost power too, with
+// whom nothing runs.
+func (n *Node) maySettle(now time.Duration) bool {
+	f := &n.fleet
+	if f.listed {
+		return len(f.unlinked(n.self)) == 0 || now >= listedSettleTime
+	}
+	return n.mesh.Settled() || now >= settleTime
+}
+
 // reassign has the workers divided anew with the next tick: what changes comes in bursts,
 // at a start a new peer every few ms, and dividing a thousand workers takes a small machine
 // several. The lock is held.
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -152,7 +152,7 @@
 }
 
 // All daemons have lost power and start within 0.3 s of each other. Each takes its own part
-// of the workers at once, by the entries of the others, and not more until those are linked:
+// of the workers soon, by the entries of the others, and not more until those are linked:
 // the first few would take all of them, and what they start would be stopped or lost when the
 // others take their parts.
 func TestPartOfTheWorkersAtAStart(t *testing.T) {
@@ -166,8 +166,15 @@
 	assert.NilError(t, err)
 	own.Content = b
 	n.takeDaemons(0, append(daemons, own))
+	n.fleet.listed = true
+	assert.Assert(t, !n.maySettle(listedSettleTime/2), "what runs could not be claimed")
+	assert.Assert(t, n.maySettle(listedSettleTime))
 	assert.Equal(t, len(n.fleet.members(assumeTime/2, n.self, false)), 8)
 	n.fleet.peerUp(peer(2))
 	assert.Equal(t, len(n.fleet.members(assumeTime/2, n.self, false)), 8)
 	assert.Equal(t, len(n.fleet.members(assumeTime, n.self, false)), 2, "the others are not there")
+	for i := range uint64(7) {
+		n.fleet.peerUp(peer(i + 2))
+	}
+	assert.Assert(t, n.maySettle(0), "all are linked: one daemon alone was restarted")
 }
