--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -24,13 +24,13 @@
 	listedSettleTime = 350 * time.Millisecond
 	// assumeTime is how long after its start a daemon takes those that have an entry, and that
 	// it is not linked with yet, for members: all may have lost power at once, and start
-	// within 0.3 s of each other. Each takes its own part of the workers at once then.
+	// within 0.3 s of each other. Each takes its own part of the workers then, and no more.
 	assumeTime = time.Second
 	// assembleTime is how long after its start a daemon waits for news of most workers before
 	// it refuses jobs for want of room. It bounds the wait where some workers are never taken.
 	assembleTime = 3 * time.Second
 	// dropPace is the pause between looks at all entries for those that have been missing for
-	// too long: a look at a thousand with each tick takes a tenth of an idle daemon's time.
+	// too long: at a thousand entries a look with each tick took 3% of a busy daemon's time.
 	dropPace = 200 * time.Millisecond
 	// minorityWait is how long a daemon that has lost half of its peers to silence
 	// leaves their workers alone: it is more likely cut off itself, and would take
