--- a/internal/node/entries.go
+++ b/internal/node/entries.go
@@ -220,9 +220,11 @@
 		}
 	}
 	n.fitCells(now)
-	for _, p := range f.places(n.self) {
-		if p.Address != n.self.Address && f.inCell(p.Address) {
-			n.mesh.Know(p.Address)
+	if n.placed.Load() { // before, the list may be a part of it
+		for _, p := range f.places(n.self) {
+			if p.Address != n.self.Address && f.inCell(p.Address) {
+				n.mesh.Know(p.Address)
+			}
 		}
 	}
 	if f.cells.Count() > 1 {
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -72,6 +72,8 @@
 	// listed: the store has told which daemons there are; assuming: those count as members
 	// before they are linked.
 	listed, assuming bool
+	// placedAt is when this daemon had tried to read which daemons there are.
+	placedAt time.Duration
 	// dropAt is when to look next for entries that have been missing for too long.
 	dropAt time.Duration
 	// divide: the workers are to be divided anew.
@@ -179,7 +181,7 @@
 			list = append(list, fleet.Member{Process: k.Process, Domain: k.Domain, Weight: k.Weight})
 		}
 	}
-	if now < assumeTime {
+	if now < f.placedAt+assumeTime {
 		list = append(list, f.unlinked(self)...)
 	}
 	if !stopping || len(list) == 0 {
@@ -257,7 +259,7 @@
 		f.settled, f.assuming = true, true
 		changed = true
 	}
-	if f.assuming && now >= assumeTime {
+	if f.assuming && now >= f.placedAt+assumeTime {
 		f.assuming = false
 		changed = true
 	}
@@ -281,10 +283,14 @@
 // whom nothing runs.
 func (n *Node) maySettle(now time.Duration) bool {
 	f := &n.fleet
-	if f.listed {
-		return len(f.unlinked(n.self)) == 0 || now >= listedSettleTime
+	switch {
+	case !n.placed.Load():
+		return false
+	case f.listed:
+		return len(f.unlinked(n.self)) == 0 || now >= f.placedAt+listedSettleTime
+	default:
+		return n.mesh.Settled() || now >= f.placedAt+settleTime
 	}
-	return n.mesh.Settled() || now >= settleTime
 }
 
 // reassign has the workers divided anew with the next tick: what changes comes in bursts,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,8 @@
 	Domain string
 	// Cores is what the machine gives of a processor; 0: not known. Daemons divide work by it.
 	Cores float64
+	// FirstStart: all daemons start for the first time, and have no entries yet.
+	FirstStart bool
 	// Address is where peers reach the daemon.
 	Address netip.AddrPort
 	// Listen is the address to listen on for peers when it differs from Address.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -53,22 +53,30 @@
 // those that seeds and peers name. The store answers within some ms, or is away.
 const findWait = 300 * time.Millisecond
 
+// firstStartWait is how long a daemon of a system that starts for the first time waits for
+// the others to write their entries, before it reads which there are. Of 300 daemons that
+// don't know yet how they are divided each would link with all.
+const firstStartWait = time.Second
+
 // findPeers links the daemons of this daemon's cell. After a loss of power of a whole large
 // fleet all daemons would first link with all that the seeds name, those of other cells too,
 // which would take small machines half a second.
 func (n *Node) findPeers() {
+	if n.config.FirstStart {
+		sleep(n.ctx, firstStartWait)
+	}
 	ctx, cancel := context.WithTimeout(n.ctx, findWait)
 	defer cancel()
 	items, _, err := n.platform.Daemons.Read(ctx)
 	if err != nil {
 		n.storeFailed("daemons", err)
-	} else {
-		n.do(func(now time.Duration) {
-			n.takeDaemons(now, items)
-			n.fleet.listed = len(n.fleet.places(n.self)) > 1
-		})
 	}
-	n.placed.Store(true)
+	n.do(func(now time.Duration) {
+		n.fleet.placedAt = now
+		n.placed.Store(true)
+		n.takeDaemons(now, items)
+		n.fleet.listed = err == nil && len(n.fleet.places(n.self)) > 1
+	})
 	n.mesh.Know(n.config.Seeds...)
 }
 
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -167,6 +167,8 @@
 	own.Content = b
 	n.takeDaemons(0, append(daemons, own))
 	n.fleet.listed = true
+	assert.Assert(t, !n.maySettle(listedSettleTime), "it is not known yet which daemons there are")
+	n.placed.Store(true)
 	assert.Assert(t, !n.maySettle(listedSettleTime/2), "what runs could not be claimed")
 	assert.Assert(t, n.maySettle(listedSettleTime))
 	assert.Equal(t, len(n.fleet.members(assumeTime/2, n.self, false)), 8)
