--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -56,6 +56,9 @@
 // tasks it is never refused.
 func (c *Coordinator) refusal(now time.Duration, j *job) (Reason, time.Duration) {
 	worst, ok := c.wait(now, j)
+	if !ok && c.rooms.allRetired(now, j.Service) && !c.assembling(now) {
+		return ReasonRetired, retiredRetryAfter
+	}
 	if !ok {
 		return ReasonNoWorkers, minRetryAfter
 	}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -72,8 +72,10 @@
 
 // Reasons.
 const (
-	ReasonNoWorkers  Reason = "no_workers"
-	ReasonNoRoom     Reason = "no_room"
+	ReasonNoWorkers Reason = "no_workers"
+	ReasonNoRoom    Reason = "no_room"
+	// ReasonRetired: all failure domains that the service has workers in are retired.
+	ReasonRetired    Reason = "domains_retired"
 	ReasonDeadline   Reason = "deadline"
 	ReasonHolderLost Reason = "holder_lost"
 	ReasonTooLate    Reason = "too_late_to_restart"
--- /dev/null
+++ b/coordinator/retire_test.go
@@ -0,0 +1,66 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/member"
+)
+
+// holderIn tells of an executor with a worker in a failure domain, with room for n tasks.
+func (r *rig) holderIn(p member.Process, near int, domain string, n int64) {
+	room := roomFor("worker-"+domain, n)
+	room.Domain = domain
+	r.c.SetHolder(Holder{Process: p, Near: near, Rooms: []executor.Room{room}})
+}
+
+// The operator retires a failure domain. Its executors say so with their next heartbeats;
+// until then a coordinator that knows it already offers them nothing, and takes the room
+// that is left for all that there is.
+func TestNothingIsOfferedToARetiredDomain(t *testing.T) {
+	r := newRig(t)
+	r.holderIn(peerB, 1, "a", 4)
+	r.holderIn(peerC, 2, "b", 2)
+	r.c.Retire(map[string]bool{"a": true})
+	r.c.Submit(r.now, testJob("j", 2))
+	assert.Equal(t, len(r.offers(peerB)), 0)
+	assert.Equal(t, len(r.offers(peerC)), 2)
+	r.holderIn(peerB, 1, "a", 4) // a heartbeat that was built before it knew
+	r.c.Submit(r.now, testJob("k", 1))
+	assert.Equal(t, len(r.offers(peerB)), 0)
+
+	r.c.Retire(nil)
+	r.holderIn(peerB, 1, "a", 4)
+	r.c.Submit(r.now, testJob("l", 1))
+	assert.Equal(t, len(r.offers(peerB)), 1)
+}
+
+// All failure domains are retired. Callers are told so at once, truly as not run and when
+// to come back, instead of waiting for workers that nobody will give them.
+func TestAllDomainsRetired(t *testing.T) {
+	r := newRig(t)
+	r.holderIn(peerB, 1, "a", 4)
+	r.holderIn(peerC, 2, "b", 4)
+	r.c.Retire(map[string]bool{"a": true, "b": true})
+	r.c.Submit(r.now, testJob("j", 1))
+	a := r.answered()
+	assert.Equal(t, a.Status, Refused)
+	assert.Equal(t, a.Reason, ReasonRetired)
+	assert.Equal(t, a.RetryAfter, 5*time.Second)
+}
+
+// After a start only the workers of a retired domain are known yet. Jobs wait for news of
+// the others, as they do without a retirement.
+func TestRetiredDomainIsKnownFirst(t *testing.T) {
+	r := newRig(t)
+	r.c.Expect(2)
+	r.c.Retire(map[string]bool{"a": true})
+	r.holderIn(peerB, 1, "a", 4)
+	r.c.Submit(r.now, testJob("j", 1))
+	r.holderIn(peerC, 2, "b", 4)
+	r.c.Tick(r.now)
+	assert.Equal(t, len(r.offers(peerC)), 1)
+}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -49,10 +49,13 @@
 // rooms is the coordinator's idea of all executors.
 type rooms struct {
 	holders []*Holder
+	// retired are the failure domains whose workers get no new runs.
+	retired map[string]bool
 }
 
 func (r *rooms) set(h Holder) {
 	r.remove(h.Process)
+	h.retire(r.retired)
 	at, _ := slices.BinarySearchFunc(r.holders, &h, func(a, b *Holder) int {
 		return cmp.Or(cmp.Compare(a.Near, b.Near), a.Process.Address.Compare(b.Process.Address), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
 	})
@@ -61,7 +64,7 @@
 
 // clone returns a copy for trying out where tasks would go.
 func (r *rooms) clone() *rooms {
-	c := &rooms{holders: make([]*Holder, len(r.holders))}
+	c := &rooms{holders: make([]*Holder, len(r.holders)), retired: r.retired}
 	for i, h := range r.holders {
 		n := *h
 		n.Rooms, n.Backlog = slices.Clone(h.Rooms), maps.Clone(h.Backlog)
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -55,7 +55,7 @@
 		e.look(now, w)
 	case Outdated:
 		// Another daemon has run this task here, and that run is over.
-		if r.state == starting && r.num < maxRunJump {
+		if r.state == starting && r.num < maxRunJump && !w.leaving() {
 			r.num++
 			e.call(now, w, Call{Kind: CallStart, Task: r.task, ID: r.id, Run: r.num, Deadline: r.deadline})
 			return
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -25,6 +25,8 @@
 	queue   []*queued
 	// answers is how long workers take to answer orders.
 	answers answerTime
+	// retired are the failure domains whose workers get no new runs.
+	retired map[string]bool
 	out     Output
 }
 
@@ -61,13 +63,13 @@
 func (e *Executor) assign(now time.Duration, i WorkerInfo) {
 	w := e.workers[i.ID]
 	if w == nil {
-		w = &worker{info: i, wanted: true, runs: make(map[task.ID]*run), unsettled: make(map[uint64]heldEnd), nextPoll: now}
+		w = &worker{info: i, wanted: true, retired: e.retired[i.Domain], runs: make(map[task.ID]*run), unsettled: make(map[uint64]heldEnd), nextPoll: now}
 		e.workers[i.ID] = w
 		at, _ := slices.BinarySearchFunc(e.order, i.ID, func(w *worker, id string) int { return cmp.Compare(w.info.ID, id) })
 		e.order = slices.Insert(e.order, at, w)
 		return
 	}
-	w.info, w.wanted = i, true
+	w.info, w.wanted, w.retired = i, true, e.retired[i.Domain]
 	if w.phase == released {
 		w.phase, w.nextPoll = acquiring, now
 	}
@@ -76,7 +78,7 @@
 // Update refreshes what the registry tells of a worker that is in use, assigned or not.
 func (e *Executor) Update(i WorkerInfo) {
 	if w := e.workers[i.ID]; w != nil {
-		w.info = i
+		w.info, w.retired = i, e.retired[i.Domain]
 	}
 }
 
@@ -261,7 +263,7 @@
 // canServe reports whether a worker in use, or about to be, may run the task.
 func (e *Executor) canServe(t *task.Task) bool {
 	for _, w := range e.order {
-		if w.phase != released && w.phase != yielded && !w.info.Draining && w.silent < lapsingSilence && w.serves(t) {
+		if w.phase != released && w.phase != yielded && !w.leaving() && w.silent < lapsingSilence && w.serves(t) {
 			return true
 		}
 	}
@@ -336,7 +338,7 @@
 	rooms := make([]Room, 0, len(e.order))
 	for _, w := range e.order {
 		if w.phase == held || w.phase == claiming {
-			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Free: w.free(), Total: w.info.Capacity, Open: w.open(now), Usable: w.usable()})
+			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Domain: w.info.Domain, Free: w.free(), Total: w.info.Capacity, Open: w.open(now), Usable: w.usable()})
 		}
 	}
 	return rooms
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -177,8 +177,10 @@
 type Room struct {
 	Worker  string
 	Service string
-	Free    capacity.Vector
-	Total   capacity.Vector
+	// Domain is the worker's failure domain.
+	Domain string
+	Free   capacity.Vector
+	Total  capacity.Vector
 	// Open is false while the worker gets no new runs; Usable tells that it will soon.
 	Open, Usable bool
 }
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -74,6 +74,8 @@
 type worker struct {
 	info  WorkerInfo
 	phase phase
+	// retired: the worker's failure domain is to get no new runs.
+	retired bool
 	// wanted: the worker is assigned to this daemon.
 	wanted bool
 	token  uint64
@@ -138,13 +140,17 @@
 // open reports whether new runs may start.
 func (w *worker) open(now time.Duration) bool {
 	_, known := w.now(now)
-	return w.phase == held && known && !w.info.Draining && w.silent < closingSilence && !w.suspect && now >= w.pausedUntil &&
+	return w.phase == held && known && !w.leaving() && w.silent < closingSilence && !w.suspect && now >= w.pausedUntil &&
 		(!w.probing || len(w.runs) == 0) && !w.lapsing()
 }
 
+// leaving reports whether the worker is to get no new runs until it, or its failure domain,
+// is taken back.
+func (w *worker) leaving() bool { return w.info.Draining || w.retired }
+
 // usable reports whether the worker is expected to take new runs soon, if not now.
 func (w *worker) usable() bool {
-	return (w.phase == held || w.phase == claiming) && !w.info.Draining && w.silent < lapsingSilence && !w.probing
+	return (w.phase == held || w.phase == claiming) && !w.leaving() && w.silent < lapsingSilence && !w.probing
 }
 
 // serves reports whether the worker may run the task at all.
--- a/internal/mesh/pulse.go
+++ b/internal/mesh/pulse.go
@@ -36,10 +36,10 @@
 	built  time.Time
 	// number counts the heartbeats; at each, one of the following may be set to it.
 	number uint64
-	// workersAt and peersAt are when the list of workers and that of peers last changed,
-	// roomsAt when each of the rooms did.
-	workersAt, peersAt uint64
-	roomsAt            []uint64
+	// workersAt, peersAt and domainsAt are when the list of workers, that of peers and the
+	// words on failure domains last changed, roomsAt when each of the rooms did.
+	workersAt, peersAt, domainsAt uint64
+	roomsAt                       []uint64
 	// peersTold is when peersAt was last set.
 	peersTold time.Time
 	// encoded holds the latest heartbeat for links by what they have written before.
@@ -87,6 +87,9 @@
 	if c.number == 1 || now.Sub(c.peersTold) >= tellPeersEvery || !slices.Equal(before.Peers, p.Peers) {
 		c.peersAt, c.peersTold = c.number, now
 	}
+	if c.number == 1 || !sameDomains(before.Domains, p.Domains) {
+		c.domainsAt = c.number
+	}
 	c.latest, c.built, c.encoded = p, now, make(map[uint64][]byte)
 }
 
@@ -101,6 +104,9 @@
 	if has < c.peersAt {
 		p.Peers = l.Peers
 	}
+	if has < c.domainsAt {
+		p.Domains = l.Domains
+	}
 	if has < c.workersAt {
 		p.Rooms = l.Rooms
 		return p
@@ -123,6 +129,10 @@
 	})
 }
 
+func sameDomains(a, b []*schema.DomainWord) bool {
+	return slices.EqualFunc(a, b, func(a, b *schema.DomainWord) bool { return proto.Equal(a, b) })
+}
+
 func sameRoom(a, b *schema.Room) bool {
 	return a.MilliCpu == b.MilliCpu && a.MemoryMb == b.MemoryMb && a.Gpus == b.Gpus && a.Open == b.Open && a.Usable == b.Usable
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -67,6 +67,7 @@
 	m.count("kept_requests", "verdict", v.String(), "reason", string(why))
 }
 func (m *metricSet) ledgerNews(k ledger.NewsKind) { m.count("kept_jobs", "news", k.String()) }
+func (m *metricSet) entryInvalid(kind string)     { m.count("invalid_entries", "kind", kind) }
 func (m *metricSet) storeFailed(call string)      { m.count("store_failures", "call", call) }
 func (m *metricSet) peerLost(refused bool)        { m.count("peer_losses", "refused", fmt.Sprint(refused)) }
 
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -83,6 +83,8 @@
 	// outage is when the store last failed.
 	outage time.Duration
 	relay  relay
+	// retirements are the operator's words on failure domains.
+	retirements registry.Retirements
 	// forgotten is the latest revision of an end of an entry that is not remembered any more.
 	forgotten int64
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -121,6 +121,8 @@
 			}
 		}
 		f.n.mu.Unlock()
+	} else {
+		f.n.takeRetirements(items, revision)
 	}
 	f.Changed(items, revision)
 }
@@ -130,7 +132,10 @@
 	f.n.storeAnswered()
 	if !f.fleet {
 		for _, i := range items {
-			if i.Kind == registry.Configuration && !i.Deleted {
+			switch {
+			case i.Kind == registry.RetiredDomain:
+				f.n.takeRetirement(i)
+			case i.Kind == registry.Configuration && !i.Deleted:
 				f.n.takeDocument(i.Content, "store")
 			}
 		}
--- a/internal/node/interfaces.go
+++ b/internal/node/interfaces.go
@@ -34,6 +34,8 @@
 	// DecodeConfiguration and DecodeWorker decode entries of the feeds.
 	DecodeConfiguration func(content []byte) (*routing.Table, error)
 	DecodeWorker        func(id string, content []byte) (executor.WorkerInfo, error)
+	// DecodeRetirement checks the entry that retires a failure domain.
+	DecodeRetirement func(domain string, content []byte) error
 }
 
 // Dispatcher runs callers' jobs; it is what a caller interface needs of the daemon.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -136,6 +136,7 @@
 		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: work[:]})
 	}
 	p.Pending = n.ownPending()
+	p.Domains = domainsToWire(n.fleet.retirements.List())
 	n.fleet.relay.tell(now, p)
 	for a := range n.fleet.up {
 		p.Peers = append(p.Peers, a.String())
@@ -151,6 +152,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	// Before the link is up too: a connection's first heartbeat tells the words on domains,
+	// and later ones only what has changed.
+	n.domainsHeard(p, pulse)
 	near := farDomain
 	if p.Domain == n.self.Domain {
 		near = nearDomain
@@ -159,6 +163,7 @@
 		return
 	}
 	holder := holderFromPulse(p.Process, near, pulse)
+	n.fleet.locate(holder.Rooms)
 	holder.Heard = n.clock.now()
 	n.coordinator.SetHolder(holder)
 	if n.fleet.pulsed(holder.Heard, p, pulse) {
--- a/registry/feed.go
+++ b/registry/feed.go
@@ -32,6 +32,9 @@
 	Worker
 	// Daemon entries are those of daemons like this one.
 	Daemon
+	// RetiredDomain entries are the operator's: the failure domain that each names gets
+	// nothing new while it is there.
+	RetiredDomain
 )
 
 // Item is an entry, or the news of its end.
--- /dev/null
+++ b/registry/retire_test.go
@@ -0,0 +1,44 @@
+package registry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A failure domain is retired, reinstated and retired again while peers, whose news is
+// older or newer, tell what they know in any order. The last word of the operator counts:
+// a daemon that went back to an older one would start tasks on workers that are being
+// emptied, or leave a domain idle that was taken back.
+func TestLastWordOnADomainCounts(t *testing.T) {
+	words := []Retirement{{"a", 10, true}, {"a", 20, false}, {"a", 30, true}}
+	orders := [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}}
+	for _, order := range orders {
+		var r Retirements
+		last := int64(0)
+		for _, i := range order {
+			assert.Equal(t, r.Take(words[i]), words[i].Revision > last)
+			last = max(last, words[i].Revision)
+			assert.Equal(t, r.Retired("a"), last != 20)
+		}
+		assert.Assert(t, !r.Take(words[2]), "the same word again changes nothing")
+		assert.Assert(t, !r.Retired("b"))
+	}
+}
+
+// The store has dropped its history, so a daemon reads all entries: a domain that is not
+// among them was reinstated meanwhile. Where a peer has told a later word, a read that was
+// made before it is out of date.
+func TestReadWithoutARetirementEndsIt(t *testing.T) {
+	var r Retirements
+	r.Take(Retirement{"a", 10, true})
+	r.Take(Retirement{"b", 50, true})
+	changed := r.Replace([]Retirement{{"c", 35, true}}, 40)
+	assert.DeepEqual(t, changed, []Retirement{{"c", 35, true}, {"a", 40, false}})
+	assert.Assert(t, !r.Retired("a"))
+	assert.Assert(t, r.Retired("b"), "retired after the read")
+	assert.Assert(t, r.Retired("c"))
+	assert.Assert(t, !r.Take(Retirement{"a", 10, true}), "a peer that hasn't read it yet")
+	assert.Assert(t, !r.Retired("a"))
+	assert.Equal(t, len(r.Replace([]Retirement{{"b", 50, true}, {"c", 35, true}}, 60)), 0)
+}
