--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -124,11 +124,12 @@
 	} else {
 		f.n.takeRetirements(items, revision)
 	}
-	f.Changed(items, revision)
+	f.Changed(registry.Changes{Items: items, Revision: revision})
 }
 
 // Changed takes changes.
-func (f follower) Changed(items []registry.Item, revision int64) {
+func (f follower) Changed(c registry.Changes) {
+	items := c.Items
 	f.n.storeAnswered()
 	if !f.fleet {
 		for _, i := range items {
@@ -143,7 +144,10 @@
 	}
 	f.n.do(func(now time.Duration) {
 		r := &f.n.fleet.relay
-		r.known, r.readAt, r.knownAt = max(r.known, revision), now, now
+		r.known = max(r.known, c.Revision)
+		if !c.More {
+			r.readAt, r.knownAt = now, now
+		}
 		f.n.takeEntries(now, items)
 	})
 }
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -107,6 +107,8 @@
 	n.fleet.relay.known = 5
 	told := &schema.Pulse{RegistryRevision: 5, RegistryTerm: 1}
 	step := func() registry.Step { _, s := n.pursue(); return s }
+	n.takeRegistry(n.now, peer(2), records())
+	n.takeRegistry(n.now, peer(3), records())
 	n.fleet.pulsed(n.clock.now(), peer(2), told)
 	assert.Equal(t, step(), registry.Rely)
 	n.fleet.peerLost(n.clock.now(), peer(2), true)
@@ -180,3 +182,20 @@
 	}
 	assert.Assert(t, n.maySettle(0), "all are linked: one daemon alone was restarted")
 }
+
+// The store cuts its answers to a reader off. What the reader tells is as old as the last
+// answer that was whole: those who rely on it would believe to know of a worker that leaves
+// while the reader itself is seconds behind.
+func TestReaderThatIsBehindIsNotReliedOn(t *testing.T) {
+	n := newLinked(t, 12)
+	fleet := follower{n.Node, true}
+	n.fleet.relay.reader, n.fleet.relay.beganAt = true, n.clock.now()
+	time.Sleep(2 * time.Millisecond)
+	fleet.Changed(registry.Changes{Items: []registry.Item{workerEntry("w", "", 7)}, Revision: 7})
+	whole := n.fleet.relay.readAt
+	assert.Assert(t, whole > 0)
+	fleet.Changed(registry.Changes{Items: []registry.Item{workerEntry("w", "", 9)}, Revision: 9, More: true})
+	assert.Equal(t, n.fleet.relay.known, int64(9))
+	assert.Equal(t, n.fleet.relay.readAt, whole)
+	assert.Equal(t, n.fleet.relay.knownAt, whole)
+}
--- a/registry/feed.go
+++ b/registry/feed.go
@@ -52,8 +52,18 @@
 	// Read returns all entries and a revision to watch from.
 	Read(ctx context.Context) ([]Item, int64, error)
 	// Watch returns what changed after a revision, as soon as something has or when wait
-	// is over, and the revision to go on from. ErrForgotten asks for a new Read.
-	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error)
+	// is over. ErrForgotten asks for a new Read.
+	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+}
+
+// Changes is an answer to a watch.
+type Changes struct {
+	Items []Item
+	// Revision to go on from.
+	Revision int64
+	// More: the store has cut the answer off, and what changed later than Revision is there
+	// to be read at once.
+	More bool
 }
 
 // Registrar keeps a daemon's own entry, which vanishes when it isn't renewed.
@@ -71,7 +81,11 @@
 	// Wait is how long a watch may wait.
 	Wait time.Duration
 	// Pace is the least time between two watches: where entries change all the time, a
-	// watch would return at once, again and again, and each is paid for.
+	// watch would return at once, again and again, and each is paid for. An answer that was
+	// cut off is followed by the next without a pause. With one, a daemon that watches 3,000
+	// workers, which renew their entries 2,000 times a second, got 500 changes each 0.6 s,
+	// fell behind the store by more with every answer, and learned of a worker that leaves
+	// seconds after it had to stop using it.
 	Pace time.Duration
 	// Retry is the pause after a failure.
 	Retry time.Duration
@@ -85,8 +99,9 @@
 	Await(ctx context.Context, revision int64) int64
 	// Snapshot takes all entries, and the revision up to which all is known by them.
 	Snapshot(items []Item, revision int64)
-	// Changed takes changes since the last call.
-	Changed(items []Item, revision int64)
+	// Changed takes changes since the last call. Only what is known by an answer that was not
+	// cut off is as new as the answer.
+	Changed(c Changes)
 	// Failed tells that the store gave no answer; Follow tries on.
 	Failed(err error)
 }
@@ -99,39 +114,42 @@
 			revision = to.Await(ctx, revision)
 		}
 		began := time.Now()
-		next, err := step(ctx, f, c, to, revision)
+		next, more, err := step(ctx, f, c, to, revision)
 		revision = next
 		pause := c.Pace - time.Since(began)
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
+		switch {
+		case err != nil && ctx.Err() != nil:
+			return
+		case err != nil:
 			to.Failed(err)
 			pause = c.Retry
+		case more:
+			pause = 0
 		}
 		sleep(ctx, pause)
 	}
 }
 
-// step reads or watches once and returns the revision to go on from; 0 asks for a read.
-func step(ctx context.Context, f Feed, c FollowConfig, to Follower, revision int64) (int64, error) {
+// step reads or watches once and returns the revision to go on from, 0 asks for a read, and
+// whether there is more to be read at once.
+func step(ctx context.Context, f Feed, c FollowConfig, to Follower, revision int64) (next int64, more bool, err error) {
 	if revision == 0 {
 		items, at, err := f.Read(ctx)
 		if err != nil {
-			return 0, err
+			return 0, false, err
 		}
 		to.Snapshot(items, at)
-		return at, nil
+		return at, false, nil
 	}
-	items, at, err := f.Watch(ctx, revision, c.Wait)
+	changes, err := f.Watch(ctx, revision, c.Wait)
 	switch {
 	case errors.Is(err, ErrForgotten):
-		return 0, nil
+		return 0, false, nil
 	case err != nil:
-		return revision, err
+		return revision, false, err
 	}
-	to.Changed(items, at)
-	return at, nil
+	to.Changed(changes)
+	return changes.Revision, changes.More, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
