--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -98,6 +98,7 @@
 	n.log.WithFields(logrus.Fields{"event": "peer_up", "peer": p.Name, "incarnation": p.Incarnation}).Info()
 	n.do(func(now time.Duration) {
 		n.fleet.peerUp(p)
+		n.openTo(p.Process)
 		n.reassign()
 	})
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -28,6 +28,8 @@
 	reader  bool
 	term    uint32
 	beganAt time.Duration
+	// announced is the term of which peers that were linked have been told.
+	announced uint32
 	// news are entries that have changed since they were last passed on.
 	news []*schema.EntryRecord
 	// askedAt is when a reader was last asked, and asked which one.
@@ -137,19 +139,33 @@
 	return false
 }
 
-// passOn sends what has changed to all peers. The lock is held.
+// passOn sends what has changed to all peers, and at the beginning of a term that it will.
+// The lock is held.
 func (n *Node) passOn() {
 	r := &n.fleet.relay
-	if len(r.news) == 0 {
+	if len(r.news) == 0 && (!r.reader || r.announced == r.term) {
 		return
 	}
 	for _, k := range n.fleet.up {
 		if k.up {
-			// A frame for each: the link numbers it.
-			n.mesh.Send(k.Process, &schema.Frame{Body: &schema.Frame_Registry{Registry: &schema.Registry{Entries: r.news, Term: r.term}}})
+			n.passTo(k.Process)
 		}
 	}
-	r.news = nil
+	r.news, r.announced = nil, r.term
+}
+
+// passTo sends what has changed to one peer; without changes, that they will be sent.
+func (n *Node) passTo(p member.Process) {
+	r := &n.fleet.relay
+	n.mesh.Send(p, &schema.Frame{Body: &schema.Frame_Registry{Registry: &schema.Registry{Entries: r.news, Term: r.term}}})
+}
+
+// openTo tells a peer that was linked just now that it is sent what changes from here on.
+// The lock is held.
+func (n *Node) openTo(p member.Process) {
+	if r := &n.fleet.relay; r.reader && r.announced == r.term {
+		n.passTo(p)
+	}
 }
 
 // askReader asks a reader for what this daemon lacks, if it can't rely on one already. The
@@ -224,6 +240,7 @@
 	if r.reader {
 		return
 	}
+	n.fleet.up[p.Address].chain.Opened(g.GetTerm())
 	var workers, daemons []registry.Item
 	for _, e := range g.GetEntries() {
 		i := registry.Item{Kind: registry.Kind(e.GetKind()), ID: e.GetId(), Content: e.GetContent(), Revision: e.GetRevision(), Deleted: e.GetDeleted()}
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -82,21 +82,29 @@
 }
 
 // Chain is what a daemon learns through one reader, whose messages come once and in order
-// while it is linked. It may be relied on from when the daemon has once known as much as
-// the reader had told: what changes later is sent. The zero value begins it.
+// while it is linked. It may be relied on from when the reader has said that it sends what
+// changes, and the daemon has once known as much as the reader had told. Heartbeats alone
+// don't show that: the two ends of a link come up one after the other, and what changes in
+// between is sent to nobody, while heartbeats tell it as sent. A daemon that missed a
+// leaving worker so would give it tasks until it is gone. The zero value begins a chain.
 type Chain struct {
+	// opened is the term in which the reader has said that it sends what changes; 0: none.
+	opened uint32
 	joined bool
 	term   uint32
 	at     time.Duration
 }
 
+// Opened notes the reader's word that it sends what changes from here on, in a term.
+func (c *Chain) Opened(term uint32) { c.opened = term }
+
 // Heard takes what the reader tells and returns the revision up to which the daemon, which
 // knew all up to the given one, knows all now.
 func (c *Chain) Heard(now time.Duration, known int64, t Told) int64 {
 	if t.Revision == 0 || t.Term != c.term {
-		*c = Chain{term: t.Term}
+		*c = Chain{opened: c.opened, term: t.Term}
 	}
-	if t.Revision == 0 || !c.joined && known < t.Revision {
+	if t.Revision == 0 || c.opened != t.Term || !c.joined && known < t.Revision {
 		return known
 	}
 	c.joined, c.at = true, now-t.Age
@@ -104,7 +112,7 @@
 }
 
 // Copied notes that the reader has sent all entries: what changes later follows.
-func (c *Chain) Copied(term uint32) { *c = Chain{joined: true, term: term, at: c.at} }
+func (c *Chain) Copied(term uint32) { *c = Chain{opened: term, joined: true, term: term, at: c.at} }
 
 // Current reports whether the daemon can rely on the reader now.
 func (c *Chain) Current(now time.Duration) bool {
