--- a/executor/takeover.go
+++ b/executor/takeover.go
@@ -40,6 +40,12 @@
 // acquired takes a worker over: its runs are asked for among the coordinators.
 func (e *Executor) acquired(now time.Duration, w *worker, a Answer) {
 	w.phase = claiming
+	if len(a.Running) == 0 {
+		// Nothing can be claimed, and no order of an earlier holder is obeyed any more: the
+		// worker is free. After a loss of power of all daemons that is each of them, and
+		// callers that come again wait for the first.
+		w.phase = held
+	}
 	w.claimBy = now + claimWait
 	w.waiting = nil
 	t := Takeover{Worker: w.info.ID}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -60,10 +61,17 @@
 	failed bool
 	// parted: the daemon is not to be linked any more.
 	parted bool
+	// elder: the peer had been there for a while when it greeted.
+	elder bool
+	// redial asks for a dial without a pause; stopDial ends the one that began at dialing,
+	// nil when there is none.
+	redial   chan struct{}
+	stopDial func()
+	dialing  time.Time
 }
 
 func newLink(m *Mesh, a netip.AddrPort) *link {
-	return &link{mesh: m, address: a, wake: make(chan struct{}, 1), session: 1, lastNamed: time.Now(), interval: pulseInterval}
+	return &link{mesh: m, address: a, wake: make(chan struct{}, 1), redial: make(chan struct{}, 1), session: 1, lastNamed: time.Now(), interval: pulseInterval}
 }
 
 func (l *link) named() {
@@ -143,11 +151,48 @@
 		}
 		select {
 		case <-l.mesh.ctx.Done():
+		case <-l.redial:
 		case <-time.After(redialPause):
 		}
 	}
 }
 
+// dial makes one attempt to reach the peer, which ends early when the peer dials us after it
+// has begun.
+func (l *link) dial() (net.Conn, error) {
+	ctx, cancel := context.WithCancel(l.mesh.ctx)
+	defer cancel()
+	l.mu.Lock()
+	l.stopDial, l.dialing = cancel, time.Now()
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		l.stopDial = nil
+		l.mu.Unlock()
+	}()
+	return l.mesh.dialer.DialContext(ctx, "tcp4", l.address.String())
+}
+
+// peerDialed has the peer, which is surely there now, dialed at once. The link is locked.
+func (l *link) peerDialed() {
+	if l.conn != nil || l.stopDial != nil && time.Since(l.dialing) < staleDial {
+		return
+	}
+	if l.stopDial != nil {
+		l.stopDial()
+	}
+	select {
+	case l.redial <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) isElder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.elder
+}
+
 func (l *link) forgotten() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -159,7 +204,7 @@
 
 // connect dials, greets and writes until the connection is given up.
 func (l *link) connect() error {
-	c, err := l.mesh.dialer.DialContext(l.mesh.ctx, "tcp4", l.address.String())
+	c, err := l.dial()
 	if err != nil {
 		return err
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -33,6 +33,14 @@
 	// forgetAfter is how long a lost peer is dialed that nothing names any more.
 	forgetAfter = 20 * time.Second
 	dialTimeout = 400 * time.Millisecond
+	// staleDial is the age from which a dial is begun anew when its peer dials us: the peer
+	// was without power when it began, and packets to it were lost. Without that the peer
+	// waits up to dialTimeout for our side of the link after it is back, and then lets
+	// callers wait for workers.
+	staleDial = 20 * time.Millisecond
+	// YoungFor is how long a process counts as one that has just started. Daemons that lost
+	// power together are back within 0.3 s of each other.
+	YoungFor = time.Second
 	// maxFrame bounds one frame in bytes.
 	maxFrame = 8 << 20
 )
@@ -255,10 +263,24 @@
 func (m *Mesh) greeting(session uint64) *schema.Identity {
 	return &schema.Identity{
 		Address: m.self.Address, Incarnation: m.self.Incarnation, Name: m.self.Name, Domain: m.self.Domain,
-		MilliCores: m.self.MilliCores, Session: session,
+		MilliCores: m.self.MilliCores, Session: session, Young: time.Since(m.started) < YoungFor,
 	}
 }
 
+// MetElder reports whether a peer that has not just started has answered a greeting or sent
+// one: the fleet was there before this process. It is known a round trip after the dial,
+// long before the link is up.
+func (m *Mesh) MetElder() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.isElder() {
+			return true
+		}
+	}
+	return false
+}
+
 func readFrame(r *bufio.Reader) (*schema.Frame, error) {
 	f := new(schema.Frame)
 	err := protodelim.UnmarshalOptions{MaxSize: maxFrame}.UnmarshalFrom(r, f)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -252,3 +252,18 @@
 	b.sendTo(a.self, 8)
 	eventually(t, "delivered", func() bool { return len(a.received()) == 1 && len(b.received()) == 1 })
 }
+
+// A process that starts wants to know whether all others have just started too, after a loss
+// of power, or the fleet has been there all the while. A greeting tells it, in either
+// direction.
+func TestMetElder(t *testing.T) {
+	a, _ := newEnd(t, 1)
+	b, _ := newEnd(t, 2)
+	a.Know(b.self.Address)
+	eventually(t, "the link is up", func() bool { return a.count("up") == 1 && b.count("up") == 1 })
+	assert.Assert(t, !a.MetElder())
+	time.Sleep(mesh.YoungFor)
+	c, _ := newEnd(t, 3)
+	c.Know(b.self.Address)
+	eventually(t, "it has met one that was there before", c.MetElder)
+}
--- a/internal/mesh/session.go
+++ b/internal/mesh/session.go
@@ -71,7 +71,9 @@
 	session = l.session
 	if ok = h.GetSession() == session; ok {
 		l.peer = l.peerOf(h)
+		l.elder = !h.GetYoung()
 	}
+	l.peerDialed()
 	l.mu.Unlock()
 	l.tellLost(lost, replaced)
 	return session, ok
@@ -96,7 +98,7 @@
 		l.mu.Lock()
 		return false // the greeting carried the old session
 	}
-	l.peer = l.peerOf(answer)
+	l.peer, l.elder = l.peerOf(answer), !answer.GetYoung()
 	l.conn, l.connected, l.sent, l.told = c, answer.GetIncarnation(), 0, 0
 	l.dialed = l.mesh.clock()
 	return true
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -22,6 +22,11 @@
 	// listedSettleTime is the same for a process that knows which daemons there are: links to
 	// live ones take some tens of ms, and all start within 0.3 s after a loss of power.
 	listedSettleTime = 350 * time.Millisecond
+	// youngSettleTime is the same for a process that has met no peer but such as have just
+	// started too: all lost power, nothing runs that they could claim, and every caller waits
+	// for the first worker. A peer that was there before is met a round trip after its dial,
+	// within some ms; the rest is for the dials to all on a small machine.
+	youngSettleTime = 100 * time.Millisecond
 	// assumeTime is how long after its start a daemon takes those that have an entry, and that
 	// it is not linked with yet, for members: all may have lost power at once, and start
 	// within 0.3 s of each other. Each takes its own part of the workers then, and no more.
@@ -257,7 +262,7 @@
 	if now >= assembleTime {
 		n.coordinator.Expect(0)
 	}
-	if !f.settled && len(f.workers) > 0 && n.maySettle(now) {
+	if !f.settled && len(f.workers) > 0 && n.maySettle(now, n.mesh.MetElder()) {
 		f.settled, f.assuming = true, true
 		changed = true
 	}
@@ -282,14 +287,18 @@
 // maySettle reports whether a new process may take workers over. Coordinators that it is
 // not linked with could not claim what runs there, and it would be stopped; so it waits for
 // all daemons that there are, but not for long for those that may have lost power too, with
-// whom nothing runs.
-func (n *Node) maySettle(now time.Duration) bool {
+// whom nothing runs. metElder: it has met a daemon that had been there before.
+func (n *Node) maySettle(now time.Duration, metElder bool) bool {
 	f := &n.fleet
+	patience := listedSettleTime
+	if !metElder {
+		patience = youngSettleTime
+	}
 	switch {
 	case !n.placed.Load():
 		return false
 	case f.listed:
-		return len(f.unlinked(n.self)) == 0 || now >= f.placedAt+listedSettleTime
+		return len(f.unlinked(n.self)) == 0 || now >= f.placedAt+patience
 	default:
 		return n.mesh.Settled() || now >= f.placedAt+settleTime
 	}
