--- a/executor/answers.go
+++ b/executor/answers.go
@@ -123,7 +123,12 @@
 		if r.stopped == 0 {
 			r.stopped = a.Clock
 		}
-		w.nextLook = max(w.nextLook, now+e.config.StopWithin)
+		if r.since > 0 {
+			w.nextLook = max(w.nextLook, now+e.config.StopWithin)
+			return
+		}
+		w.nextLook = now
+		e.look(now, w)
 	}
 }
 
@@ -286,7 +291,8 @@
 	switch {
 	case r.since > 0 && clockMS > r.since:
 		e.end(now, w, r, task.Gone, "vanished")
-	case r.stopped > 0 && clockMS > r.stopped+e.config.StopWithin.Milliseconds():
+	case r.stopped > 0 && clockMS > r.stopped:
+		// A run that was there when the stop came is listed until its end is.
 		e.end(now, w, r, task.Gone, "stopped_before_start")
 	case r.deadline > 0 && clockMS > r.deadline:
 		// The start can't be carried out any more, and it has left no trace.
--- a/executor/latency.go
+++ b/executor/latency.go
@@ -9,6 +9,11 @@
 	// minOrderTime is the least such time: a worker takes a few ms, and a daemon on a fifth of
 	// a core may stand still for some tens.
 	minOrderTime = 60 * time.Millisecond
+	// minSuspicion is the least time after which a start without an answer is asked after,
+	// beside the order, which is waited for on. A worker takes a few ms. The question costs one
+	// look at the worker, and settles by itself what the order's answer would have; so it can
+	// be asked sooner than an order can be given up.
+	minSuspicion = 15 * time.Millisecond
 	// answerGain and deviationGain are the weights of one answer in the mean time and in the
 	// mean deviation, deviations how many of these are added; as TCP does for its round trips,
 	// with two more, as an order that is given up costs its connection too.
@@ -32,9 +37,14 @@
 }
 
 // limit is how long an answer is waited for.
-func (a *answerTime) limit() time.Duration {
+func (a *answerTime) limit() time.Duration { return a.atLeast(minOrderTime) }
+
+// suspicion is the time after which a start without an answer is asked after.
+func (a *answerTime) suspicion() time.Duration { return a.atLeast(minSuspicion) }
+
+func (a *answerTime) atLeast(least time.Duration) time.Duration {
 	if a.mean == 0 {
 		return maxOrderTime
 	}
-	return min(max(a.mean+deviations*a.deviation, minOrderTime), maxOrderTime)
+	return min(max(a.mean+deviations*a.deviation, least), maxOrderTime)
 }
--- a/executor/latency_test.go
+++ b/executor/latency_test.go
@@ -39,3 +39,74 @@
 	}
 	assert.Assert(t, start("k", 60*time.Millisecond).Timeout > minOrderTime)
 }
+
+// quickWorker makes the executor hold a worker that has answered orders within 4 ms.
+func quickWorker(t *testing.T) *rig {
+	r := newRig(t)
+	r.hold("w1")
+	for range 10 {
+		r.e.answers.observe(4 * time.Millisecond)
+	}
+	return r
+}
+
+// A worker leaves a start unanswered, and may carry it out seconds later. The caller's job
+// of some tens of ms is late when that is found out by the order's time limit. It is asked
+// after while the order is still waited for; a stop bars the run, and the list after it
+// proves that it never ran: its task starts elsewhere while the caller is on time.
+func TestUnansweredStartIsAskedAfterSoon(t *testing.T) {
+	r := quickWorker(t)
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	began := r.now
+	c := r.take(CallStart, "w1")
+	r.take(CallPoll, "w1") // the standing one
+	r.pass(minSuspicion + 10*time.Millisecond)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "", "it may still be on its way")
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: OK})
+	r.now += 2 * time.Millisecond
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "gone ")
+	assert.Assert(t, r.now-began < minOrderTime, "%s", r.now-began)
+	r.answer(c, Answer{Verdict: Unknown})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "gone ")
+}
+
+// Only the answer of a start was lost, or it is late: the worker's list shows the run, and
+// nothing is stopped.
+func TestLateAnswerOfAStart(t *testing.T) {
+	r := quickWorker(t)
+	c := r.e
+	c.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	start := r.take(CallStart, "w1")
+	r.take(CallPoll, "w1")
+	r.pass(minSuspicion + 10*time.Millisecond)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Running: listing(start.ID, 1)})
+	assert.Equal(t, r.outcomes(ownerA, start.ID), "started ")
+	assert.Assert(t, !r.has(CallStop))
+	r.answer(start, Answer{Verdict: OK})
+	assert.Equal(t, r.outcomes(ownerA, start.ID), "started ")
+}
+
+// The list that was asked for before a stop was carried out shows nothing, and comes after
+// the stop's answer. It is no proof: the start may have come in between, and its run ends
+// only now. A second list is.
+func TestListFromBeforeTheStopIsNoProof(t *testing.T) {
+	r := quickWorker(t)
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "w1")
+	standing := r.take(CallPoll, "w1")
+	r.pass(minSuspicion + 10*time.Millisecond)
+	early := r.clock()
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Clock: early})
+	r.now += 5 * time.Millisecond
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: OK})
+	r.answer(standing, Answer{Verdict: OK, Clock: early})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "")
+	r.now += 2 * time.Millisecond
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Running: listing(c.ID, 1)})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started ", "it was there when the stop came, and is ending")
+	r.pass(testStop)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, c.ID, 1, "stopped")}})
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started gone ")
+}
--- a/executor/polls.go
+++ b/executor/polls.go
@@ -56,6 +56,9 @@
 	if !w.polling && now >= w.nextPoll {
 		e.poll(now, w)
 	}
+	if w.suspectStarts(now, e.answers.suspicion()) {
+		e.look(now, w)
+	}
 	if now >= w.nextLook && w.doubts() {
 		e.insist(now, w)
 		e.look(now, w)
@@ -103,6 +106,20 @@
 	e.endAll(now, w, "lease_lapsed")
 }
 
+// suspectStarts takes starts for doubtful that have been without an answer for so long, and
+// reports whether there were any. A worker that leaves an order unanswered may carry it out
+// seconds later; a look at its list tells whether it has, and a stop that it never will, so
+// that the task can start elsewhere while its caller would still be on time.
+func (w *worker) suspectStarts(now, patience time.Duration) bool {
+	found := false
+	for _, r := range w.runs {
+		if r.state == starting && now-r.began >= patience {
+			r.state, found = doubtful, true
+		}
+	}
+	return found
+}
+
 // insist repeats stops that were not confirmed: an order without an answer may be lost.
 func (e *Executor) insist(now time.Duration, w *worker) {
 	for _, r := range w.sorted() {
