--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -165,10 +165,14 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if old := n.table.Load(); old != nil && old.Version >= t.Version {
+	old := n.table.Load()
+	if old != nil && old.Version >= t.Version {
 		return
 	}
 	n.table.Store(t)
+	if old == nil {
+		close(n.configured)
+	}
 	n.documents.content = content
 	n.log.WithFields(logrus.Fields{"event": "configuration_in_force", "version": t.Version, "source": source}).Info()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,8 +69,10 @@
 	serving    context.Context
 	endService context.CancelFunc
 
-	table    atomic.Pointer[routing.Table]
-	stopping atomic.Bool
+	table atomic.Pointer[routing.Table]
+	// configured is closed with the first configuration.
+	configured chan struct{}
+	stopping   atomic.Bool
 	// placed: it is known which cell this daemon is of, or can't be known.
 	placed atomic.Bool
 	// closing: no more jobs are accepted to be kept.
@@ -91,7 +93,7 @@
 
 // New returns a daemon that listens for peers and does nothing yet.
 func New(c Config, p Platform, log *logrus.Logger) (*Node, error) {
-	n := &Node{config: c, platform: p, log: log, clock: newClock(), metrics: newMetricSet(), waiters: make(map[string]*waiter)}
+	n := &Node{config: c, platform: p, log: log, clock: newClock(), metrics: newMetricSet(), waiters: make(map[string]*waiter), configured: make(chan struct{})}
 	n.self = mesh.Peer{
 		Process: member.Process{Address: c.Address, Incarnation: rand.Uint64()},
 		Name:    c.Name, Domain: c.Domain, Weight: c.Cores,
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -20,8 +20,28 @@
 	callers  int
 }
 
-// Table returns the configuration in force; nil before the first.
-func (n *Node) Table() *routing.Table { return n.table.Load() }
+// firstTableWait is how long callers of a process that has just started wait for its first
+// configuration. One of 256 KiB takes 0.1 s on a link of 25 Mbit/s, which the entries of
+// workers and the answers to other daemons fill too: 0.25 s after a kill of all daemons, when
+// callers come from everywhere. Refused they would not come back. The bound is that of a
+// job's wait for the first worker: a longer wait would make most of them late.
+const firstTableWait = 700 * time.Millisecond
+
+// Table implements Dispatcher.
+func (n *Node) Table(ctx context.Context) *routing.Table {
+	if t := n.table.Load(); t != nil {
+		return t
+	}
+	t := time.NewTimer(max(firstTableWait-n.clock.now(), 0))
+	defer t.Stop()
+	select {
+	case <-n.configured:
+	case <-ctx.Done():
+	case <-n.serving.Done():
+	case <-t.C:
+	}
+	return n.table.Load()
+}
 
 // wakeWait is how long new requests wait after this process has stood still: by then the
 // server has noticed which callers have hung up meanwhile, as their connections end.
--- /dev/null
+++ b/internal/node/requests_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/registry"
+	"github.com/lavendercleat/lavendercleat/routing"
+)
+
+// All daemons were killed and are back; callers ask at once, while the configuration is on
+// its way over a narrow link. They wait for it, for some hundred ms, and are served. A caller
+// that leaves, and one that comes later to a daemon without a configuration, don't wait.
+func TestCallersWaitForTheFirstConfiguration(t *testing.T) {
+	n := newOperated(t)
+	got := make(chan *routing.Table, 1)
+	go func() { got <- n.Table(context.Background()) }()
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	assert.Assert(t, n.Table(gone) == nil)
+	select {
+	case <-got:
+		t.Fatal("it has answered before there was a configuration")
+	case <-time.After(20 * time.Millisecond):
+	}
+	follower{n.Node, false}.Snapshot([]registry.Item{{Kind: registry.Configuration, Content: []byte("{}"), Revision: 3}}, 5)
+	assert.Assert(t, <-got != nil)
+
+	late := newOperated(t)
+	late.clock.start = time.Now().Add(-firstTableWait)
+	began := time.Now()
+	assert.Assert(t, late.Table(context.Background()) == nil)
+	assert.Assert(t, time.Since(began) < firstTableWait/2)
+}
