--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -189,6 +189,7 @@
 			continue
 		}
 		belief := l.get("peer") != "" || strings.HasPrefix(l.get("event"), "store_") || strings.HasPrefix(l.get("event"), "configuration_") ||
+			strings.HasPrefix(l.get("event"), "domain_") ||
 			l.get("event") == "started" || l.get("event") == "stopping" || l.get("event") == "suspended"
 		if workers[l.get("worker")] && l.get("worker") != "" || belief && sources[l.source] {
 			list = append(list, l)
