--- a/fleet/assign.go
+++ b/fleet/assign.go
@@ -20,6 +20,16 @@
 	Weight float64
 }
 
+const (
+	// workersPerCore is how many workers a daemon holds for each core of its processor where
+	// others of its failure domain can carry the rest. A worker of tasks of 60 ms to 1 s gets
+	// six starts a second, and a start, its end and the polls between take 0.5 ms of a core.
+	workersPerCore = 100
+	// minHolders is the least number of holders in a failure domain, if it has as many
+	// daemons: when one is lost, the other's workers serve on while the rest are taken over.
+	minHolders = 2
+)
+
 // Assign returns the holder of each worker, by the worker's ID. It is a function of its
 // inputs alone, so daemons with equal views agree without a message; while views differ,
 // fencing tokens decide. A worker goes to a member of its own failure domain while there
@@ -44,11 +54,36 @@
 			divide(pool, members, holders)
 			continue
 		}
-		divide(pool, byDomain[domain], holders)
+		divide(pool, carriers(len(pool), byDomain[domain]), holders)
 	}
 	return holders
 }
 
+// carriers returns the daemons of a failure domain that hold its workers: the strongest, as
+// many as can carry so many workers. Few holders with many workers each place tasks better
+// than many with few: a task that is large for a worker fits more often, and what waits is
+// started by its urgency among more, where coordinators would have to guess at which of many
+// queues there is room next. In the load model, with two thirds of the room left for tasks
+// that take half of a worker, 3 to 18 of 100 short jobs come late, or are refused, with 39
+// workers a holder, and 24 to 35 with four. Where processors are not known, all hold workers.
+func carriers(workers int, members []Member) []Member {
+	if slices.ContainsFunc(members, func(m Member) bool { return m.Weight <= 0 }) {
+		return members
+	}
+	strongest := slices.Clone(members)
+	slices.SortFunc(strongest, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), a.Address.Compare(b.Address))
+	})
+	room := 0.0
+	for i, m := range strongest {
+		if i >= minHolders && room >= float64(workers) {
+			return strongest[:i]
+		}
+		room += m.Weight * workersPerCore
+	}
+	return strongest
+}
+
 // divide gives each worker to the member that rates it highest and has not its full
 // number yet (weighted rendezvous hashing with bounded loads).
 func divide(pool []executor.WorkerInfo, members []Member, holders map[string]member.Process) {
--- a/fleet/assign_test.go
+++ b/fleet/assign_test.go
@@ -71,3 +71,48 @@
 		assert.Equal(t, h.Address, before[id].Address)
 	}
 }
+
+// Two daemons of a domain have four times the processor of the others and can carry all of
+// its workers: they hold them, as few queues with many workers waste less room than many with
+// few. When one of them is lost the other takes what it can carry, and the next strongest
+// the rest, so that no machine falls behind with its orders.
+func TestStrongestHoldTheWorkers(t *testing.T) {
+	m := members("a", 16)
+	for i := range m {
+		m[i].Weight = 0.192
+	}
+	m[3].Weight, m[9].Weight = 0.8, 0.8
+	held := func(m []Member) map[netip.AddrPort]int {
+		n := make(map[netip.AddrPort]int)
+		for _, h := range Assign(workers("a", 117), m) {
+			n[h.Address]++
+		}
+		return n
+	}
+	both := held(m)
+	assert.Equal(t, len(both), 2)
+	assert.Assert(t, both[m[3].Address] >= 58 && both[m[9].Address] >= 58)
+	one := held(append(append([]Member(nil), m[:3]...), m[4:]...))
+	assert.Equal(t, one[m[9].Address], 79)
+	assert.Equal(t, len(one), 3)
+	weak := held(m[10:])
+	assert.Equal(t, len(weak), 6, "all of them where they can't carry so many")
+}
+
+// Equal daemons hold workers two by two where that is enough, and all where their processors
+// are not known.
+func TestHoldersOfEqualDaemons(t *testing.T) {
+	m := members("a", 3)
+	count := func() int {
+		holders := make(map[member.Process]bool)
+		for _, h := range Assign(workers("a", 18), m) {
+			holders[h] = true
+		}
+		return len(holders)
+	}
+	assert.Equal(t, count(), 3)
+	for i := range m {
+		m[i].Weight = 0.4
+	}
+	assert.Equal(t, count(), 2)
+}
--- a/test/policy/daemon_test.go
+++ b/test/policy/daemon_test.go
@@ -14,6 +14,7 @@
 	m           *model
 	self        member.Process
 	domain      string
+	weight      float64
 	executor    *executor.Executor
 	coordinator *coordinator.Coordinator
 	// heard is when each other daemon's last heartbeat came; 0 for one that is lost.
--- a/test/policy/load_test.go
+++ b/test/policy/load_test.go
@@ -171,3 +171,58 @@
 	assert.Assert(t, f.credit > 0.88)
 	assert.Assert(t, f.calls < 1.35)
 }
+
+// largeTasks is a mixture of tasks that take half of a smaller worker each: two fit on one
+// only when their sum does, so that a third of the room can't be used.
+func largeTasks(perSecond float64) []kind {
+	return []kind{
+		{"short", 0.236 * perSecond, 8, 60 * time.Millisecond, 16000, 0, 0.00485},
+		{"long", 0.075 * perSecond, 4, 900 * time.Millisecond, 16000, 2, 0.0267},
+		{"pairs", 0.689 * perSecond, 2, 200 * time.Millisecond, 16000, 1, 0.00167},
+	}
+}
+
+// threeDomains is a fleet of small daemons with eight workers each.
+func threeDomains(perSecond float64) load {
+	return load{domains: 3, daemonsEach: 5, workersEach: 39, kinds: largeTasks(perSecond), length: 16 * time.Second}
+}
+
+// usualLarge is what callers of threeDomains ask for on an ordinary day, in jobs a second.
+const usualLarge = 217
+
+// One of three failure domains is retired while callers come as usual: its workers get
+// nothing new, its daemons go on taking jobs, and the others' room serves nearly all. When it
+// is reinstated it serves at once.
+func TestRetiredDomain(t *testing.T) {
+	t.Parallel()
+	l := threeDomains(usualLarge)
+	l.retired = func(domain string, at time.Duration) bool {
+		return domain == "z1" && at > 4*time.Second && at < 10*time.Second
+	}
+	f := mean(t, l)
+	assert.Assert(t, f.credit > 0.985)
+	assert.Assert(t, f.failed < f.jobs/500)
+}
+
+// Workers leave one in thirty orders unanswered. Found out by the orders' time limit, and
+// restarted 50 ms after the stop that bars them, a fifteenth of the jobs came late: 0.948.
+func TestUnansweredOrders(t *testing.T) {
+	t.Parallel()
+	l := threeDomains(usualLarge)
+	l.unanswered = 0.033
+	f := mean(t, l)
+	assert.Assert(t, f.credit > 0.985)
+	assert.Assert(t, f.failed < f.jobs/300)
+}
+
+// Two of the eight daemons of each failure domain have four times the processor of the
+// others, and hold its workers. Divided by processor among all eight, tasks that take half of
+// a worker found room less often, and waited in the wrong queue: 0.924 of the credit.
+func TestFewHoldersUseTheRoom(t *testing.T) {
+	t.Parallel()
+	l := threeDomains(240)
+	l.domains, l.daemonsEach, l.strong = 2, 8, 2
+	f, best := mean(t, l), mean(t, l.oneQueue())
+	assert.Assert(t, f.credit > best.credit-0.04)
+	assert.Assert(t, f.failed < f.jobs/500)
+}
