--- a/executor/latency_test.go
+++ b/executor/latency_test.go
@@ -110,3 +110,23 @@
 	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, c.ID, 1, "stopped")}})
 	assert.Equal(t, r.outcomes(ownerA, c.ID), "started gone ")
 }
+
+// A worker leaves a start unanswered, and then the stop that bars it. The stop is repeated:
+// without that the task would wait until the start's lease is over, and its caller be late.
+func TestStopOfAnUnansweredStartIsRepeated(t *testing.T) {
+	r := quickWorker(t)
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "w1")
+	r.take(CallPoll, "w1")
+	r.pass(minSuspicion + 10*time.Millisecond)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK})
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: Unknown})
+	r.answer(c, Answer{Verdict: Unknown})
+	r.pass(lookEvery + 25*time.Millisecond)
+	r.answer(r.take(CallStop, "w1"), Answer{Verdict: OK})
+	r.now += 2 * time.Millisecond
+	for r.has(CallPoll) {
+		r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK})
+	}
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "gone ")
+}
--- a/executor/polls.go
+++ b/executor/polls.go
@@ -123,8 +123,10 @@
 // insist repeats stops that were not confirmed: an order without an answer may be lost.
 func (e *Executor) insist(now time.Duration, w *worker) {
 	for _, r := range w.sorted() {
-		if r.state == stopping && r.stopped == 0 && now-r.stopSent >= lookEvery {
+		state := r.state
+		if barred := state == stopping || state == doubtful && r.stopSent > 0; barred && r.stopped == 0 && now-r.stopSent >= lookEvery {
 			e.stop(now, w, r)
+			r.state = state
 		}
 	}
 }
