--- a/internal/node/interfaces.go
+++ b/internal/node/interfaces.go
@@ -40,9 +40,11 @@
 
 // Dispatcher runs callers' jobs; it is what a caller interface needs of the daemon.
 type Dispatcher interface {
-	// Table returns the configuration in force. A process that has just started waits for its
-	// first, unless ctx ends; nil when it doesn't come in time.
-	Table(ctx context.Context) *routing.Table
+	// Table returns the configuration in force; nil before the first.
+	Table() *routing.Table
+	// AwaitTable returns it too, but waits for the first while the process has just started,
+	// unless ctx ends; nil when it doesn't come in time.
+	AwaitTable(ctx context.Context) *routing.Table
 	// Run brings a job to its answer. When ctx ends, the caller has gone and the job is
 	// canceled.
 	Run(ctx context.Context, r Request) coordinator.Answer
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -28,10 +28,10 @@
 const firstTableWait = 700 * time.Millisecond
 
 // Table implements Dispatcher.
-func (n *Node) Table(ctx context.Context) *routing.Table {
-	if t := n.table.Load(); t != nil {
-		return t
-	}
+func (n *Node) Table() *routing.Table { return n.table.Load() }
+
+// AwaitTable implements Dispatcher.
+func (n *Node) AwaitTable(ctx context.Context) *routing.Table {
 	t := time.NewTimer(max(firstTableWait-n.clock.now(), 0))
 	defer t.Stop()
 	select {
