--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,21 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits and returns false when the context ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -194,15 +194,3 @@
 		v.SetSuccessor(now, member.Process{Address: address, Incarnation: p.GetIncarnation()}, h.members.self, stopped.Keep)
 	})
 }
-
-// sleep waits and returns false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -241,7 +241,7 @@
 		m.announce(ctx)
 		fresh := false
 		m.with(func(v *member.View) { fresh = v.HeardSince(begin) })
-		if fresh || !sleep(ctx, refreshPause) {
+		if fresh || !clock.Sleep(ctx, refreshPause) {
 			return
 		}
 	}
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/internal/platform"
 	"github.com/lavendercleat/lavendercleat/schema"
 )
@@ -87,7 +88,7 @@
 		if refusal == nil || !overtaken && refusal.Reason != config.EntryBehind {
 			break
 		}
-		sleep(ctx, rewritePause)
+		clock.Sleep(ctx, rewritePause)
 	}
 	return s, base, refusal
 }
@@ -227,7 +228,7 @@
 		}
 		unanswered = true
 		p.metrics.count("platform_failures", "call", "confirm")
-		sleep(ctx, rewritePause)
+		clock.Sleep(ctx, rewritePause)
 	}
 	return unknown()
 }
@@ -244,7 +245,7 @@
 	for ctx.Err() == nil {
 		s, refusal := p.read(ctx)
 		if refusal != nil {
-			sleep(ctx, rewritePause)
+			clock.Sleep(ctx, rewritePause)
 			continue
 		}
 		if rec := config.FindPlan(s.doc, c.Id); rec != nil {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/verdict"
 )
 
@@ -35,7 +36,7 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	e.stopping.Store(true)
 	e.log.WithField("event", "stopping").Info("planned stop")
-	sleep(ctx, e.settings.StopDelay)
+	clock.Sleep(ctx, e.settings.StopDelay)
 	e.sealed.Store(true)
 	e.router.submissions.table.Seal()
 	stopCtx, cancel := context.WithTimeout(ctx, e.settings.StopTimeout)
@@ -85,7 +86,7 @@
 			e.log.WithFields(logrus.Fields{"event": "no_successor", "answers": e.router.submissions.table.Len()}).
 				Warn("no entry takes the answers; they are served here until the stop times out")
 		}
-		if !sleep(stopCtx, handoverRetry) {
+		if !clock.Sleep(stopCtx, handoverRetry) {
 			e.log.WithFields(logrus.Fields{"event": "answers_lost", "answers": e.router.submissions.table.Len()}).
 				Warn("no entry took the answers; they end with this process")
 			return
@@ -131,7 +132,7 @@
 // pollUntil waits for a condition and returns false when the context ends first.
 func pollUntil(ctx context.Context, done func() bool) bool {
 	for !done() {
-		if !sleep(ctx, stopPoll) {
+		if !clock.Sleep(ctx, stopPoll) {
 			return done()
 		}
 	}
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -68,7 +68,7 @@
 		case ctx.Err() == nil:
 			s.failed(what, err)
 		}
-		sleep(ctx, p.after(news, err == nil && time.Since(begin) >= s.watchWait/2))
+		clock.Sleep(ctx, p.after(news, err == nil && time.Since(begin) >= s.watchWait/2))
 	}
 }
 
--- a/internal/load/driver.go
+++ b/internal/load/driver.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/schema"
 )
 
@@ -87,18 +88,7 @@
 
 // sleepUntil waits for a time and tells whether it came.
 func sleepUntil(ctx context.Context, t time.Time) bool {
-	wait := time.Until(t)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, time.Until(t))
 }
 
 // send sends one job without waiting for it. Its response time counts from when it
--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// clock is a steady clock that counts the time for which the machine was suspended: the
+// bootClock is a steady clock that counts the time for which the machine was suspended: the
 // monotonic clock doesn't, and callers' deadlines and workers' leases run on meanwhile.
-type clock struct {
+type bootClock struct {
 	start time.Time
 	// suspended is the time that the monotonic clock has missed.
 	suspended atomic.Int64
@@ -20,19 +20,19 @@
 // minSuspension is the least difference that counts: two readings are never made at once.
 const minSuspension = 20 * time.Millisecond
 
-func newClock() *clock {
-	c := &clock{start: time.Now()}
+func newBootClock() *bootClock {
+	c := &bootClock{start: time.Now()}
 	c.offset = bootTime() - time.Since(c.start)
 	return c
 }
 
-func (c *clock) now() time.Duration {
+func (c *bootClock) now() time.Duration {
 	return time.Since(c.start) + time.Duration(c.suspended.Load())
 }
 
 // sync takes in a suspension and returns its length. Each reading costs a system call,
 // so it is made once a tick and not for every event.
-func (c *clock) sync() time.Duration {
+func (c *bootClock) sync() time.Duration {
 	missed := bootTime() - time.Since(c.start) - c.offset
 	jump := missed - time.Duration(c.suspended.Load())
 	if jump < minSuspension {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/registry"
 	"github.com/lavendercleat/lavendercleat/schema"
 )
@@ -86,9 +87,9 @@
 		known, step := f.n.pursue()
 		switch step {
 		case registry.Rely:
-			sleep(ctx, followPace/2)
+			clock.Sleep(ctx, followPace/2)
 		case registry.Wait:
-			sleep(ctx, 2*tickEvery)
+			clock.Sleep(ctx, 2*tickEvery)
 		case registry.ReadAll:
 			return 0
 		default:
@@ -199,9 +200,9 @@
 			if errors.Is(err, registry.ErrNotFound) {
 				lease = 0
 			}
-			sleep(n.ctx, 2*storeRetry)
+			clock.Sleep(n.ctx, 2*storeRetry)
 			continue
 		}
-		sleep(n.ctx, n.config.EntryTTL/renewals)
+		clock.Sleep(n.ctx, n.config.EntryTTL/renewals)
 	}
 }
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/internal/mesh"
 	"github.com/lavendercleat/lavendercleat/ledger"
 )
@@ -286,7 +287,7 @@
 		if out, done := n.cancelStored(ctx, id); done {
 			return out
 		}
-		sleep(ctx, writePause)
+		clock.Sleep(ctx, writePause)
 	}
 	return CancelUncertain
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavendercleat/lavendercleat/coordinator"
 	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/internal/mesh"
 	"github.com/lavendercleat/lavendercleat/member"
 	"github.com/lavendercleat/lavendercleat/routing"
@@ -59,7 +60,7 @@
 	log      *logrus.Logger
 	self     mesh.Peer
 	mesh     *mesh.Mesh
-	clock    *clock
+	clock    *bootClock
 	metrics  *metricSet
 
 	ctx    context.Context
@@ -93,7 +94,7 @@
 
 // New returns a daemon that listens for peers and does nothing yet.
 func New(c Config, p Platform, log *logrus.Logger) (*Node, error) {
-	n := &Node{config: c, platform: p, log: log, clock: newClock(), metrics: newMetricSet(), waiters: make(map[string]*waiter), configured: make(chan struct{})}
+	n := &Node{config: c, platform: p, log: log, clock: newBootClock(), metrics: newMetricSet(), waiters: make(map[string]*waiter), configured: make(chan struct{})}
 	n.self = mesh.Peer{
 		Process: member.Process{Address: c.Address, Incarnation: rand.Uint64()},
 		Name:    c.Name, Domain: c.Domain, Weight: c.Cores,
@@ -144,7 +145,7 @@
 	n.stopping.Store(true)
 	n.log.WithField("event", "stopping").Info()
 	n.do(n.divideWorkers)
-	sleep(ctx, n.config.StopDelay)
+	clock.Sleep(ctx, n.config.StopDelay)
 	n.closing.Store(true)
 	n.drain(ctx)
 	n.resign(ctx)
@@ -174,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, n.config.StopTimeout)
 	defer cancel()
 	for ctx.Err() == nil && n.jobs() > 0 {
-		sleep(ctx, tickEvery)
+		clock.Sleep(ctx, tickEvery)
 	}
 }
 
@@ -198,15 +199,6 @@
 	return len(n.waiters) + n.keeper.ledger.Len()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (n *Node) ticks() {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/internal/mesh"
 	"github.com/lavendercleat/lavendercleat/schema"
 )
@@ -63,7 +64,7 @@
 // which would take small machines half a second.
 func (n *Node) findPeers() {
 	if n.config.FirstStart {
-		sleep(n.ctx, firstStartWait)
+		clock.Sleep(n.ctx, firstStartWait)
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, findWait)
 	defer cancel()
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/routing"
 )
 
@@ -61,7 +62,7 @@
 	}
 	n.mu.Unlock()
 	if wait > 0 {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 	return ctx.Err() == nil
 }
