--- a/executor/retire.go
+++ b/executor/retire.go
@@ -7,8 +7,8 @@
 // order of urgency wherever it goes: its caller waits on.
 //
 // The holder of a worker is the last to see a task before it starts. It refuses by itself,
-// as coordinators learn of a retirement some hundred ms later than it, or not at all while
-// they are cut off.
+// as coordinators may learn of a retirement later than it, or not at all while they are cut
+// off from the store and from peers that know.
 func (e *Executor) Retire(now time.Duration, domains map[string]bool) {
 	e.retired = domains
 	for _, w := range e.order {
--- a/fleet/assign.go
+++ b/fleet/assign.go
@@ -23,7 +23,8 @@
 const (
 	// workersPerCore is how many workers a daemon holds for each core of its processor where
 	// others of its failure domain can carry the rest. A worker of tasks of 60 ms to 1 s gets
-	// six starts a second, and a start, its end and the polls between take 0.5 ms of a core.
+	// six starts a second, and all that daemons do for a task takes 1.2 ms of a core at most:
+	// three quarters of what the holder has, were it to do all of it.
 	workersPerCore = 100
 	// minHolders is the least number of holders in a failure domain, if it has as many
 	// daemons: when one is lost, the other's workers serve on while the rest are taken over.
@@ -64,8 +65,9 @@
 // than many with few: a task that is large for a worker fits more often, and what waits is
 // started by its urgency among more, where coordinators would have to guess at which of many
 // queues there is room next. In the load model, with two thirds of the room left for tasks
-// that take half of a worker, 3 to 18 of 100 short jobs come late, or are refused, with 39
-// workers a holder, and 24 to 35 with four. Where processors are not known, all hold workers.
+// that take half of a worker, 5 and 10 of 100 short jobs come late, or are refused, at two
+// rates with 39 workers a holder, and 27 and 40 with four. Where processors are not known, all
+// hold workers.
 func carriers(workers int, members []Member) []Member {
 	if slices.ContainsFunc(members, func(m Member) bool { return m.Weight <= 0 }) {
 		return members
