--- a/executor/takeover_test.go
+++ b/executor/takeover_test.go
@@ -219,3 +219,23 @@
 	r.answer(c, Answer{Verdict: OK, Clock: r.clock()})
 	assert.Equal(t, len(r.e.Rooms(r.now)), 1)
 }
+
+// All daemons lost power and are back. A worker that one of them takes lists nothing, and
+// coordinators that were asked for its runs have not answered: they may be starting still.
+// There is nothing to claim, so callers' tasks start on it at once; where something runs
+// it is asked for first.
+func TestWorkerWithoutRunsIsOpenWhenItIsTaken(t *testing.T) {
+	r := newRig(t)
+	r.e.SetWorkers(r.now, []WorkerInfo{workerNamed("free"), workerNamed("busy")})
+	r.pass(25 * time.Millisecond)
+	found := task.ID{Job: "earlier"}
+	r.answer(r.take(CallPoll, "free"), Answer{Verdict: OK})
+	r.answer(r.take(CallPoll, "busy"), Answer{Verdict: OK, Running: listing(found, 1)})
+	for _, id := range []string{"free", "busy"} {
+		r.e.Asked(r.now, id, []member.Process{ownerA, ownerB})
+	}
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0), testTask("j", 1), testTask("j", 2)})
+	assert.Equal(t, r.take(CallStart, "").Worker, "free")
+	assert.Equal(t, r.take(CallStart, "").Worker, "free")
+	assert.Assert(t, !r.has(CallStart), "what runs on the other may be claimed")
+}
