--- a/executor/latency_test.go
+++ b/executor/latency_test.go
@@ -130,3 +130,19 @@
 	}
 	assert.Equal(t, r.outcomes(ownerA, c.ID), "gone ")
 }
+
+// A worker's machine is busy, and a start takes 25 ms to come there. It is waited for: asked
+// after sooner, the worker would not list it yet, the stop that bars it would meet it a moment
+// later, and the task would be started once more for nothing.
+func TestSlowStartIsWaitedFor(t *testing.T) {
+	r := quickWorker(t)
+	r.e.Offer(r.now, ownerA, []task.Task{testTask("j", 0)})
+	c := r.take(CallStart, "w1")
+	r.take(CallPoll, "w1")
+	r.pass(25 * time.Millisecond)
+	assert.Assert(t, !r.has(CallPoll) && !r.has(CallStop))
+	r.answer(c, Answer{Verdict: OK})
+	r.pass(25 * time.Millisecond)
+	assert.Assert(t, !r.has(CallStop))
+	assert.Equal(t, r.outcomes(ownerA, c.ID), "started ")
+}
