--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -79,6 +81,9 @@
 	Aborted int64 `json:"aborted"`
 	// BusyMS adds up the run times.
 	BusyMS int64 `json:"busy_ms"`
+	// Nameless tells of the first orders that don't say which task they start: who sent them, to
+	// where, with which headers. They are refused and start nothing.
+	Nameless []string `json:"nameless,omitempty"`
 	// Tasks counts the starts by submission and task, as "submission/task".
 	Tasks map[string]int `json:"tasks,omitempty"`
 }
@@ -121,6 +126,7 @@
 	defer s.mu.Unlock()
 	w := s.witness
 	w.BusyMS = s.busy.Milliseconds()
+	w.Nameless = slices.Clone(s.witness.Nameless)
 	w.Tasks = make(map[string]int, len(s.witness.Tasks))
 	for k, n := range s.witness.Tasks {
 		w.Tasks[k] = n
@@ -194,8 +200,30 @@
 	}
 }
 
-// task serves one task.
+// maxNameless bounds the list of orders without a name.
+const maxNameless = 20
+
+// nameless notes an order that names no task.
+func (s *Server) nameless(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.witness.Nameless) < maxNameless {
+		s.witness.Nameless = append(s.witness.Nameless, fmt.Sprintf("%s %s from %s to %s, headers %v", r.Method, r.URL.Path, r.RemoteAddr, r.Host, r.Header))
+	}
+}
+
+// task serves one task. Only a POST is an order: a probe meant for another server, whose port
+// this one has got after its end, starts nothing.
 func (s *Server) task(c *gin.Context) {
+	if c.Request.Method != http.MethodPost {
+		c.Status(http.StatusNotFound)
+		return
+	}
+	if c.GetHeader(backend.HeaderSubmission) == "" || c.GetHeader(backend.HeaderTask) == "" {
+		s.nameless(c.Request)
+		c.Status(http.StatusBadRequest)
+		return
+	}
 	body, err := io.ReadAll(c.Request.Body)
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/standin/backend/server_test.go
@@ -0,0 +1,49 @@
+package backend
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/internal/backend"
+)
+
+// Another test's probe comes to the port of a process that has ended, which the stand-in has
+// now. Counted as starts, a few of them would look like one task that was started repeatedly.
+func TestProbeForAnotherServerIsNoStart(t *testing.T) {
+	s := NewServer(8, time.Millisecond)
+	h := httptest.NewServer(s)
+	defer h.Close()
+	for range 3 {
+		resp, err := http.Get(h.URL + "/readyz")
+		assert.NilError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusNotFound)
+	}
+	assert.Equal(t, s.Witness().Starts, int64(0))
+}
+
+// An order that doesn't say which task it starts is a fault of its sender: the witness tells who
+// that was, and nothing is started.
+func TestOrderWithoutATaskIsTold(t *testing.T) {
+	s := NewServer(8, time.Millisecond)
+	h := httptest.NewServer(s)
+	defer h.Close()
+	req, err := http.NewRequest(http.MethodPost, h.URL+"/quote", strings.NewReader("{}"))
+	assert.NilError(t, err)
+	req.Header.Set(backend.HeaderTask, "0")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+	w := s.Witness()
+	assert.Equal(t, w.Starts, int64(0))
+	assert.Equal(t, len(w.Nameless), 1)
+	for _, part := range []string{"POST /quote from 127.0.0.1:", backend.HeaderTask + ":[0]"} {
+		assert.Assert(t, strings.Contains(w.Nameless[0], part), "%s", w.Nameless[0])
+	}
+}
--- a/test/cluster/ledger.go
+++ b/test/cluster/ledger.go
@@ -154,6 +154,9 @@
 		*count++
 		broken = append(broken, fmt.Sprintf(format, args...))
 	}
+	for _, order := range w.Nameless {
+		broken = append(broken, "order without a task: "+order)
+	}
 	for task, n := range w.Tasks {
 		r.Starts += int64(n)
 		if n > 1 {
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Log returns what the process logged so far.
 func (p *Process) Log() string { return p.log.String() }
 
--- a/test/cluster/worker.go
+++ b/test/cluster/worker.go
@@ -144,6 +144,7 @@
 		sum.Refused += one.Refused
 		sum.Aborted += one.Aborted
 		sum.BusyMS += one.BusyMS
+		sum.Nameless = append(sum.Nameless, one.Nameless...)
 		for k, n := range one.Tasks {
 			sum.Tasks[k] += n
 		}
