--- a/executor/place_test.go
+++ b/executor/place_test.go
@@ -191,3 +191,19 @@
 	r.e.Offer(r.now, ownerA, []task.Task{two})
 	r.take(CallStart, "w")
 }
+
+// A worker passes to daemons that can't claim its runs. What runs there ends here, and nothing
+// is started that would be stopped by them.
+func TestDepartingWorkerEndsWhatItRuns(t *testing.T) {
+	r := newRig(t)
+	r.hold("w")
+	one, two := testTask("job", 0), testTask("job", 1)
+	r.started(ownerA, one)
+	r.e.Depart(func(string) bool { return true })
+	r.e.SetWorkers(r.now, nil)
+	r.e.Offer(r.now, ownerA, []task.Task{two})
+	assert.Equal(t, r.outcomes(ownerA, two.ID), "not_run ")
+	r.answer(r.take(CallPoll, "w"), Answer{Verdict: OK, Ended: []Ended{endOf(1, one.ID, 1, "done")}})
+	assert.Equal(t, r.outcomes(ownerA, one.ID), "started done ")
+	assert.Assert(t, !r.e.Rooms(r.now)[0].Usable)
+}
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -76,6 +76,8 @@
 	phase phase
 	// retired: the worker's failure domain is to get no new runs.
 	retired bool
+	// departing: the worker is being left to daemons that can't claim what runs there.
+	departing bool
 	// wanted: the worker is assigned to this daemon.
 	wanted bool
 	token  uint64
@@ -153,7 +155,7 @@
 
 // leaving reports whether the worker is to get no new runs until it, or its failure domain,
 // is taken back.
-func (w *worker) leaving() bool { return w.info.Draining || w.retired }
+func (w *worker) leaving() bool { return w.info.Draining || w.retired || w.departing }
 
 // usable reports whether the worker is expected to take new runs soon, if not now.
 func (w *worker) usable() bool {
--- a/fleet/assign.go
+++ b/fleet/assign.go
@@ -138,7 +138,13 @@
 	_, _ = d.WriteString(worker)
 	_, _ = d.WriteString("\x00")
 	_, _ = d.WriteString(m.Address.String())
+	return weighted(d.Sum64(), cmp.Or(m.Weight, 1))
+}
+
+// weighted is the rate that weighted rendezvous hashing makes of a hash and a weight: each of
+// several rates is the highest as often as its weight is of their sum.
+func weighted(hash uint64, weight float64) float64 {
 	const bits = 53
-	uniform := (float64(d.Sum64()>>(64-bits)) + 0.5) / (1 << bits)
-	return -cmp.Or(m.Weight, 1) / math.Log(uniform)
+	uniform := (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
+	return -weight / math.Log(uniform)
 }
--- a/fleet/cells.go
+++ b/fleet/cells.go
@@ -68,7 +68,9 @@
 // Workers returns those of a cell. Each cell gets a share of each failure domain's workers
 // by what its daemons of that domain can carry, so that all daemons of a domain hold
 // workers by their weight, however the hash has thrown them together. A domain without
-// daemons is shared by what the cells can carry in all.
+// daemons is shared by what the cells can carry in all. A worker that comes or leaves moves
+// hardly any other: what runs on a worker that changes its cell is lost to its callers, as
+// coordinators are not linked with daemons of other cells.
 func (c Cells) Workers(cell int, workers []executor.WorkerInfo, daemons []Place) []executor.WorkerInfo {
 	if c.bits == 0 {
 		return workers
@@ -94,43 +96,69 @@
 		if sizes == nil {
 			sizes = total
 		}
-		sortByHash(pool)
-		from, to := share(len(pool), sizes, cell)
-		own = append(own, pool[from:to]...)
+		own = append(own, partOf(cell, pool, sizes)...)
 	}
 	return own
 }
 
-// sortByHash puts workers into an order that has nothing to do with their names.
-func sortByHash(pool []executor.WorkerInfo) {
-	type keyed struct {
-		key  uint64
-		info executor.WorkerInfo
-	}
-	list := make([]keyed, len(pool))
-	for i, w := range pool {
-		list[i] = keyed{xxhash.Sum64String(w.ID), w}
+// cellSlack is by what part of its share a cell's number of workers may be above it. Without
+// it each worker that comes or leaves would move two or three others from cell to cell.
+const cellSlack = 0.05
+
+// partOf returns the workers of a failure domain that a cell has: each worker is of the cell
+// that rates it highest and is not full (weighted rendezvous hashing with bounded loads).
+func partOf(cell int, pool []executor.WorkerInfo, sizes []float64) (own []executor.WorkerInfo) {
+	sum := 0.0
+	for _, s := range sizes {
+		sum += s
 	}
-	slices.SortFunc(list, func(a, b keyed) int {
-		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.info.ID, b.info.ID))
-	})
-	for i := range list {
-		pool[i] = list[i].info
+	if sum == 0 {
+		return nil
 	}
-}
-
-// share returns the part of n things that goes to a place, by the sizes of all places.
-func share(n int, sizes []float64, place int) (from, to int) {
-	total, before := 0.0, 0.0
+	left := make([]int, len(sizes))
 	for i, s := range sizes {
-		total += s
-		if i < place {
-			before += s
+		left[i] = int(math.Ceil(float64(len(pool)) * s / sum * (1 + cellSlack)))
+	}
+	for _, w := range byHash(pool) {
+		best, bestRate := -1, 0.0
+		for i, s := range sizes {
+			if left[i] <= 0 {
+				continue
+			}
+			if r := cellRate(w.key, i, s); best < 0 || r > bestRate {
+				best, bestRate = i, r
+			}
+		}
+		if left[best]--; best == cell {
+			own = append(own, w.info)
 		}
 	}
-	if total == 0 {
-		return 0, 0
+	return own
+}
+
+// cellRate is a pseudo-random number of a worker, by its hash, and a cell, higher for a larger one.
+func cellRate(worker uint64, cell int, size float64) float64 {
+	const odd1, odd2 = 0x9E3779B97F4A7C15, 0xD6E8FEB86659FD93
+	x := worker ^ uint64(cell+1)*odd1
+	x = (x ^ x>>32) * odd2
+	x = (x ^ x>>32) * odd2
+	return weighted(x^x>>32, size)
+}
+
+// keyedWorker is a worker with the hash of its ID.
+type keyedWorker struct {
+	key  uint64
+	info executor.WorkerInfo
+}
+
+// byHash returns workers in an order that has nothing to do with their names.
+func byHash(pool []executor.WorkerInfo) []keyedWorker {
+	list := make([]keyedWorker, len(pool))
+	for i, w := range pool {
+		list[i] = keyedWorker{xxhash.Sum64String(w.ID), w}
 	}
-	at := func(s float64) int { return int(math.Round(float64(n) * s / total)) }
-	return at(before), at(before + sizes[place])
+	slices.SortFunc(list, func(a, b keyedWorker) int {
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	return list
 }
--- a/fleet/cells_test.go
+++ b/fleet/cells_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -148,3 +149,35 @@
 		assert.Equal(t, sum[domain], 220)
 	}
 }
+
+// Workers of a large fleet are released and replaced all the time. Those that stay must stay in
+// their cells too: what runs on a worker that another cell takes is claimed by nobody there, and
+// its callers are told that its holder is lost. With parts by position each change moved seven.
+func TestLeavingWorkersMoveFewOthers(t *testing.T) {
+	daemons := places(236)
+	c := Cells{}.Fit(len(daemons))
+	var workers []executor.WorkerInfo
+	for i := range 2500 {
+		workers = append(workers, executor.WorkerInfo{ID: fmt.Sprint("w", i), Domain: fmt.Sprint(i % 5)})
+	}
+	homes := func(workers []executor.WorkerInfo) map[string]int {
+		m := make(map[string]int)
+		for cell := range c.Count() {
+			for _, w := range c.Workers(cell, workers, daemons) {
+				m[w.ID] = cell
+			}
+		}
+		return m
+	}
+	before, moved := homes(workers), 0
+	const changes = 12
+	for i := range changes {
+		rest := slices.Delete(slices.Clone(workers), i*200, i*200+1)
+		for id, cell := range homes(rest) {
+			if before[id] != cell {
+				moved++
+			}
+		}
+	}
+	assert.Assert(t, moved <= changes, "%d workers moved with %d that left", moved, changes)
+}
--- a/internal/node/entries.go
+++ b/internal/node/entries.go
@@ -42,6 +42,8 @@
 	missingSince int64
 	// content is the entry as it was read, passed on to peers.
 	content []byte
+	// stay tells whether the worker is of this daemon's cell.
+	stay fleet.Stay
 }
 
 // knownDaemon is another daemon's entry in the registry.
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -81,8 +82,9 @@
 	placedAt time.Duration
 	// dropAt is when to look next for entries that have been missing for too long.
 	dropAt time.Duration
-	// divide: the workers are to be divided anew.
-	divide bool
+	// divide: the workers are to be divided anew; at divideAt they are without news, 0: never.
+	divide   bool
+	divideAt time.Duration
 	// interval is the time between this daemon's heartbeats, as peers were last told.
 	interval time.Duration
 	// outage is when the store last failed.
@@ -242,6 +244,7 @@
 		return
 	}
 	f.cells, f.cell = cells, cells.Of(n.self.Address)
+	f.forgetStays() // too many change their cells for each to be left to its former one
 	n.log.WithFields(logrus.Fields{"event": "cells_changed", "cells": cells.Count(), "cell": f.cell, "daemons": count}).Info()
 	n.mesh.Restrict(func(a netip.AddrPort) bool { return cells.Of(a) == cells.Of(n.self.Address) })
 }
@@ -276,7 +279,7 @@
 		}
 	}
 	switch {
-	case changed, f.divide:
+	case changed, f.divide, f.divideAt > 0 && now >= f.divideAt:
 		n.divideWorkers(now)
 	case f.settled:
 		// Workers that left with something running are dropped once it has ended.
@@ -309,6 +312,44 @@
 // several. The lock is held.
 func (n *Node) reassign() { n.fleet.divide = true }
 
+// outside returns whether a worker is one of another cell.
+func (f *fleetView) outside(own []executor.WorkerInfo) func(id string) bool {
+	inside := make(map[string]bool, len(own))
+	for _, w := range own {
+		inside[w.ID] = true
+	}
+	return func(id string) bool { return f.workers[id] != nil && !inside[id] }
+}
+
+// taken returns those workers of this cell that are not left to their former cells any more,
+// and notes when the next one is not.
+func (f *fleetView) taken(now time.Duration, own []executor.WorkerInfo) []executor.WorkerInfo {
+	if !f.settled || f.assuming { // which cells the workers were of is not known yet
+		return own
+	}
+	f.divideAt = 0
+	outside := f.outside(own)
+	for id, w := range f.workers {
+		if outside(id) {
+			w.stay.See(now, false)
+		}
+	}
+	return slices.DeleteFunc(own, func(i executor.WorkerInfo) bool {
+		ready, _ := f.workers[i.ID].stay.See(now, true)
+		if ready > now && (f.divideAt == 0 || ready < f.divideAt) {
+			f.divideAt = ready
+		}
+		return ready > now
+	})
+}
+
+// forgetStays forgets which workers have been of this cell.
+func (f *fleetView) forgetStays() {
+	for _, w := range f.workers {
+		w.stay = fleet.Stay{}
+	}
+}
+
 // divideWorkers divides the workers among the members that this daemon sees. The lock is held.
 func (n *Node) divideWorkers(now time.Duration) {
 	f := &n.fleet
@@ -319,6 +360,8 @@
 		n.executor.Update(now, w.info)
 	}
 	all = f.cells.Workers(f.cell, all, f.places(n.self))
+	n.executor.Depart(f.outside(all))
+	all = f.taken(now, all)
 	if now < assembleTime {
 		n.coordinator.Expect(len(all))
 	}
