--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,8 +148,12 @@
 	n.do(n.divideWorkers)
 	clock.Sleep(ctx, n.config.StopDelay)
 	n.closing.Store(true)
-	n.drain(ctx)
+	bounded, cancel := context.WithTimeout(ctx, n.config.StopTimeout)
+	defer cancel()
+	n.drain(bounded)
 	n.resign(ctx)
+	// Callers on open connections still come meanwhile; each of them is answered in full.
+	n.drain(bounded)
 	n.endService()
 	n.answerAll()
 }
@@ -171,10 +175,8 @@
 	n.log.WithField("event", "stopped").Info()
 }
 
-// drain waits for the jobs in flight.
+// drain waits for the jobs in flight until ctx ends.
 func (n *Node) drain(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.config.StopTimeout)
-	defer cancel()
 	for ctx.Err() == nil && n.jobs() > 0 {
 		clock.Sleep(ctx, tickEvery)
 	}
--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/coordinator"
+	"github.com/lavendercleat/lavendercleat/ledger"
+	"github.com/lavendercleat/lavendercleat/routing"
+)
+
+// hookedLedger is a store in which something happens while a write is under way.
+type hookedLedger struct {
+	ledger.Store
+	during func()
+}
+
+func (l hookedLedger) Write(context.Context, ledger.Change) (ledger.Result, error) {
+	l.during()
+	return ledger.Result{Revision: 9}, nil
+}
+
+// A daemon stops; the last job has been answered, and while its title is given back in the
+// store a caller on an open connection sends another. It was told that the job may have run.
+func TestJobThatComesWhileTheTitleIsGivenBack(t *testing.T) {
+	n := newIdle(t)
+	n.config.StopTimeout = 2 * time.Second
+	n.keeper.ledger.Titled(1)
+	var late *waiter
+	n.platform.Ledger = hookedLedger{during: func() {
+		n.coordinator.SetHolder(n.ownHolder(n.clock.now()))
+		late = n.join(Request{ID: "late", Route: &routing.Route{Name: "r", Service: "s"}, Steps: []coordinator.Step{{Count: 1}}, Patience: time.Second})
+		time.AfterFunc(3*tickEvery, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.answered(coordinator.Answer{Job: "late", Status: coordinator.Completed})
+		})
+	}}
+	n.Drain(t.Context())
+	<-late.done
+	assert.Equal(t, late.answer.Status, coordinator.Completed)
+}
