--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -59,6 +59,8 @@
 	// told is what it tells of its reading of the store, and chain what is learned by it.
 	told  registry.Told
 	chain registry.Chain
+	// sends: it has said that it sends what changes.
+	sends bool
 }
 
 // fleetView is what the daemon believes of peers and workers.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -145,11 +145,13 @@
 	}
 	f.n.do(func(now time.Duration) {
 		r := &f.n.fleet.relay
+		r.first = r.known == 0
 		r.known = max(r.known, c.Revision)
 		if !c.More {
 			r.readAt, r.knownAt = now, now
 		}
 		f.n.takeEntries(now, items)
+		r.first = false
 	})
 }
 
--- /dev/null
+++ b/internal/node/pack.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// maxUnpacked bounds a list of entries in bytes: 10,000 workers take 3 MB.
+const maxUnpacked = 16 << 20
+
+// packEntries compresses a list of entries. They are alike, and shrink to less than a fifth.
+func packEntries(list []*schema.EntryRecord) ([]byte, error) {
+	plain, err := proto.Marshal(&schema.EntryList{Entries: list})
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding entries")
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compressing entries")
+	}
+	_, err = w.Write(plain)
+	if err = errors.CombineErrors(err, w.Close()); err != nil {
+		return nil, errors.Wrap(err, "compressing entries")
+	}
+	return out.Bytes(), nil
+}
+
+// unpackEntries is the inverse of packEntries.
+func unpackEntries(packed []byte) ([]*schema.EntryRecord, error) {
+	r := flate.NewReader(bytes.NewReader(packed))
+	plain, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
+	if err = errors.CombineErrors(err, r.Close()); err != nil {
+		return nil, errors.Wrap(err, "reading compressed entries")
+	}
+	if len(plain) > maxUnpacked {
+		return nil, errors.Newf("entries take more than %d bytes", maxUnpacked)
+	}
+	var list schema.EntryList
+	if err := proto.Unmarshal(plain, &list); err != nil {
+		return nil, errors.Wrap(err, "decoding entries")
+	}
+	return list.GetEntries(), nil
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -30,17 +30,22 @@
 	beganAt time.Duration
 	// announced is the term of which peers that were linked have been told.
 	announced uint32
+	// first: what is taken is the first that this process reads. Peers that lack it ask.
+	first bool
 	// news are entries that have changed since they were last passed on.
 	news []*schema.EntryRecord
 	// askedAt is when a reader was last asked, and asked which one.
 	askedAt time.Duration
 	asked   member.Process
 	copies  registry.Copies
+	// packed is the list of all entries at packedAt, compressed.
+	packed   []byte
+	packedAt int64
 }
 
 // note keeps a change to be passed on.
 func (r *relay) note(i registry.Item) {
-	if r.reader {
+	if r.reader && !r.first {
 		r.news = append(r.news, recordOf(i))
 	}
 }
@@ -52,6 +57,9 @@
 // judgeReader finds out whether this daemon reads for others. The lock is held.
 func (n *Node) judgeReader(now time.Duration) {
 	r := &n.fleet.relay
+	if !n.placed.Load() {
+		return // the readers are of this daemon's cell, which is not known
+	}
 	reader := false
 	for _, p := range n.readers(now) {
 		reader = reader || p == n.self.Process
@@ -77,9 +85,25 @@
 			able = append(able, registry.Reader{Process: k.Process, Domain: k.Domain, Weight: k.Weight})
 		}
 	}
+	if now < n.fleet.placedAt+assumeTime {
+		// At a start each daemon would take itself for a reader until it is linked.
+		for _, m := range n.fleet.unlinked(n.self) {
+			able = append(able, registry.Reader{Process: m.Process, Domain: m.Domain, Weight: m.Weight})
+		}
+	}
 	return registry.Readers(able)
 }
 
+// awaitsReaders reports whether this daemon, which has just started and knows nothing, is to
+// be told by those that read for its cell.
+func (n *Node) awaitsReaders(now time.Duration) bool {
+	f := &n.fleet
+	if f.relay.known > 0 || f.relay.reader || !f.listed {
+		return false
+	}
+	return registry.Relayed(f.live()+len(f.unlinked(n.self))) && now < f.placedAt+2*assumeTime
+}
+
 // tell is what this daemon tells of its reading.
 func (r *relay) tell(now time.Duration, p *schema.Pulse) {
 	if r.reader && r.readAt > r.beganAt {
@@ -107,10 +131,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now, r := n.clock.now(), &n.fleet.relay
+	if !n.placed.Load() && r.known == 0 {
+		return 0, registry.Wait
+	}
+	n.judgeReader(now)
 	step = r.pursuit.Next(now, registry.Situation{
-		Reader: r.reader, Wide: n.fleet.wide(), StoreLost: n.documents.lost(now),
+		Reader: r.reader, Wide: n.fleet.wide(), Starting: n.awaitsReaders(now), StoreLost: n.documents.lost(now),
 		Current: n.fleet.reliedOn(now), Offered: n.fleet.ahead() != nil, KnownAt: r.knownAt,
 	})
+	if step == registry.Watch && r.known == 0 {
+		step = registry.ReadAll // there is nothing to watch from
+	}
 	return r.known, step
 }
 
@@ -118,11 +149,13 @@
 func (f *fleetView) wide() bool { return registry.Relayed(f.live()) }
 
 // ahead returns a reader that knows more than this daemon; nil when there is none. It is
-// another one than was asked last, if there are two.
+// another one than was asked last, if there are two. What a reader knows is told by its
+// heartbeats; who knows nothing doesn't wait for the next.
 func (f *fleetView) ahead() *knownPeer {
 	var found *knownPeer
 	for _, k := range f.up {
-		if k.up && k.told.Revision > f.relay.known && (found == nil || found.Process == f.relay.asked) {
+		more := k.told.Revision > f.relay.known || f.relay.known == 0 && k.sends
+		if k.up && more && (found == nil || found.Process == f.relay.asked) {
 			found = k
 		}
 	}
@@ -172,9 +205,9 @@
 // lock is held.
 func (n *Node) askReader(now time.Duration) {
 	r := &n.fleet.relay
-	lost := n.documents.lost(now)
-	starting := r.known == 0 && !lost // it reads by itself
-	if r.reader || starting || !lost && !n.fleet.wide() || r.askedAt > 0 && now-r.askedAt < askEvery || n.fleet.reliedOn(now) {
+	lost, told := n.documents.lost(now), n.awaitsReaders(now)
+	reads := r.known == 0 && !lost && !told // by itself
+	if r.reader || reads || !lost && !told && !n.fleet.wide() || r.askedAt > 0 && now-r.askedAt < askEvery || n.fleet.reliedOn(now) {
 		return
 	}
 	k := n.fleet.ahead()
@@ -196,31 +229,34 @@
 	}
 	out := &schema.Registry{Revision: r.known, Term: r.term, Since: since}
 	if since == 0 || since < n.fleet.forgotten {
-		if !r.copies.Take(now) {
+		out.Since, out.Complete, out.Packed = 0, true, n.allPacked()
+		if out.Packed == nil || !r.copies.Take(now, len(out.Packed)) {
 			return
 		}
-		out.Since, out.Complete = 0, true
+	} else {
+		out.Entries = n.fleet.changedSince(since)
 	}
-	out.Entries = n.fleet.changedSince(out.Since, out.Complete)
 	n.mesh.Send(p.Process, &schema.Frame{Body: &schema.Frame_Registry{Registry: out}})
 }
 
-// changedSince returns the entries that have changed after a revision, and those that ended
-// where they are not all told.
-func (f *fleetView) changedSince(revision int64, all bool) (list []*schema.EntryRecord) {
-	for id, w := range f.workers {
-		if w.missing == 0 && w.changed > revision {
-			list = append(list, recordOf(registry.Item{Kind: registry.Worker, ID: id, Content: w.content, Revision: w.revision}))
-		}
-	}
-	for id, d := range f.daemons {
-		if d.gone == 0 && d.revision > revision {
-			list = append(list, recordOf(registry.Item{Kind: registry.Daemon, ID: id, Content: d.content, Revision: d.revision}))
-		}
+// allPacked returns all entries, compressed: after a loss of power all daemons of the cell ask
+// for them at once. The lock is held.
+func (n *Node) allPacked() []byte {
+	r := &n.fleet.relay
+	if r.packedAt == r.known {
+		return r.packed
 	}
-	if all {
-		return list
+	packed, err := packEntries(n.fleet.entriesSince(0))
+	if err != nil {
+		n.log.WithFields(logrus.Fields{"event": "entries_not_packed", "error": err}).Error()
 	}
+	r.packed, r.packedAt = packed, r.known
+	return packed
+}
+
+// changedSince returns the entries that have changed after a revision, and those that ended.
+func (f *fleetView) changedSince(revision int64) []*schema.EntryRecord {
+	list := f.entriesSince(revision)
 	for id, g := range f.gone {
 		if g.told > revision {
 			list = append(list, recordOf(registry.Item{Kind: registry.Worker, ID: id, Revision: g.revision, Deleted: true}))
@@ -234,15 +270,43 @@
 	return list
 }
 
+// entriesSince returns the entries that have changed after a revision.
+func (f *fleetView) entriesSince(revision int64) (list []*schema.EntryRecord) {
+	for id, w := range f.workers {
+		if w.missing == 0 && w.changed > revision {
+			list = append(list, recordOf(registry.Item{Kind: registry.Worker, ID: id, Content: w.content, Revision: w.revision}))
+		}
+	}
+	for id, d := range f.daemons {
+		if d.gone == 0 && d.revision > revision {
+			list = append(list, recordOf(registry.Item{Kind: registry.Daemon, ID: id, Content: d.content, Revision: d.revision}))
+		}
+	}
+	return list
+}
+
 // takeRegistry takes what a peer has read in the store. The lock is held.
 func (n *Node) takeRegistry(now time.Duration, p mesh.Peer, g *schema.Registry) {
 	r := &n.fleet.relay
 	if r.reader {
 		return
 	}
-	n.fleet.up[p.Address].chain.Opened(g.GetTerm())
+	k := n.fleet.up[p.Address]
+	k.chain.Opened(g.GetTerm())
+	k.sends = true
+	entries := g.GetEntries()
+	if len(g.GetPacked()) > 0 {
+		if g.GetRevision() <= r.known {
+			return // all of it is known
+		}
+		var err error
+		if entries, err = unpackEntries(g.GetPacked()); err != nil {
+			n.log.WithFields(logrus.Fields{"event": "entries_unreadable", "peer": p.Name, "error": err}).Error()
+			return
+		}
+	}
 	var workers, daemons []registry.Item
-	for _, e := range g.GetEntries() {
+	for _, e := range entries {
 		i := registry.Item{Kind: registry.Kind(e.GetKind()), ID: e.GetId(), Content: e.GetContent(), Revision: e.GetRevision(), Deleted: e.GetDeleted()}
 		switch i.Kind {
 		case registry.Worker:
@@ -259,7 +323,7 @@
 			workers = append(workers, n.fleet.unlisted(workers, g.GetRevision())...)
 		}
 		r.known = g.GetRevision()
-		n.fleet.up[p.Address].chain.Copied(g.GetTerm())
+		k.chain.Copied(g.GetTerm())
 	}
 	// The peer has seen that a worker left, or its entry lapse; it judged.
 	changed := n.takeWorkers(now, workers, func(string) bool { return true })
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -55,7 +55,7 @@
 // none asks elsewhere. The lock is held.
 func (n *Node) documentAsked(now time.Duration, p mesh.Peer, r *schema.DocumentRequest) {
 	t := n.table.Load()
-	if t == nil || r.GetVersion() >= t.Version || !n.documents.copies.Take(now) {
+	if t == nil || r.GetVersion() >= t.Version || !n.documents.copies.Take(now, len(n.documents.content)) {
 		return
 	}
 	n.mesh.Send(p.Process, &schema.Frame{Body: &schema.Frame_Document{Document: &schema.Document{
--- a/registry/catchup.go
+++ b/registry/catchup.go
@@ -16,10 +16,10 @@
 	// askAgain is the pause before another peer is asked: a configuration of 1 MiB takes
 	// 340 ms on the slowest links, of 25 Mbit/s.
 	askAgain = 500 * time.Millisecond
-	// copiesAtOnce is how many peers one daemon serves in each copyInterval. Two copies of
-	// 256 KiB keep a link of 25 Mbit/s busy for 170 ms, so that heartbeats behind them are
-	// not taken for silence; those that have a copy serve others, so all have one soon.
-	copiesAtOnce = 2
+	// copiedAtOnce is how many bytes of copies one daemon hands out in each copyInterval. They
+	// keep a link of 25 Mbit/s busy for 170 ms, so that heartbeats behind them are not taken
+	// for silence; those that have a copy serve others, so all have one soon.
+	copiedAtOnce = 512 << 10
 	copyInterval = 250 * time.Millisecond
 )
 
@@ -105,14 +105,19 @@
 // Copies bounds how many copies a daemon hands out. The zero value is ready for use.
 type Copies struct {
 	since time.Duration
-	n     int
+	// sent is what was handed out since then, in bytes.
+	sent int
 }
 
-// Take reports whether a copy may be sent now. Who gets none asks another peer.
-func (c *Copies) Take(now time.Duration) bool {
+// Take reports whether a copy of a number of bytes may be sent now; one may in each interval,
+// whatever its size. Who gets none asks another peer.
+func (c *Copies) Take(now time.Duration, size int) bool {
 	if now-c.since >= copyInterval {
-		c.since, c.n = now, 0
+		c.since, c.sent = now, 0
 	}
-	c.n++
-	return c.n <= copiesAtOnce
+	if c.sent > 0 && c.sent+size > copiedAtOnce {
+		return false
+	}
+	c.sent += size
+	return true
 }
--- a/registry/feed.go
+++ b/registry/feed.go
@@ -93,9 +93,9 @@
 
 // Follower takes what Follow learns.
 type Follower interface {
-	// Await returns when the feed is to be watched, and the revision up to which all is
-	// known then: that of the last call, or a later one that was learned otherwise; 0 asks
-	// for a new Read.
+	// Await returns when the feed is to be read or watched, and the revision up to which all is
+	// known then: that of the last call, 0 at first, or a later one that was learned otherwise.
+	// 0 asks for a Read.
 	Await(ctx context.Context, revision int64) int64
 	// Snapshot takes all entries, and the revision up to which all is known by them.
 	Snapshot(items []Item, revision int64)
@@ -110,9 +110,7 @@
 func Follow(ctx context.Context, f Feed, c FollowConfig, to Follower) {
 	var revision int64
 	for ctx.Err() == nil {
-		if revision > 0 {
-			revision = to.Await(ctx, revision)
-		}
+		revision = to.Await(ctx, revision)
 		began := time.Now()
 		next, more, err := step(ctx, f, c, to, revision)
 		revision = next
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -21,6 +21,11 @@
 	// by itself, and seekPatience for a reader to be in sight at all.
 	askPatience  = 700 * time.Millisecond
 	seekPatience = 300 * time.Millisecond
+	// startPatience is how long a daemon that has just started waits for the readers of its
+	// cell. They read all entries within half a second, where not all daemons do: 2,500
+	// entries for each of 236 daemons keep the store's link of 1 Gbit/s busy for two seconds,
+	// in which nobody knows a worker.
+	startPatience = time.Second
 	// renewal is how often workers renew their entries. What happened in a longer time takes
 	// longer to read than all entries do.
 	renewal = 1500 * time.Millisecond
@@ -142,6 +147,8 @@
 	Wide bool
 	// StoreLost: the store doesn't answer this daemon.
 	StoreLost bool
+	// Starting: it knows nothing yet, and has read that others of its cell are to read for all.
+	Starting bool
 	// Current: there is a reader to rely on.
 	Current bool
 	// Offered: a reader is in sight that knows more.
@@ -173,6 +180,9 @@
 	if s.Wide && !s.Reader && now-p.since < patience {
 		return Wait
 	}
+	if s.Starting && !s.Reader && !s.StoreLost && now-p.since < startPatience {
+		return Wait
+	}
 	p.since = 0
 	if now-s.KnownAt > renewal {
 		return ReadAll
