--- a/executor/answers.go
+++ b/executor/answers.go
@@ -143,13 +143,14 @@
 		return
 	}
 	e.report(r.owner, task.Report{ID: r.id, Run: r.num, Outcome: o, Worker: w.info.ID, Reason: reason})
-	e.judge(now, w, o)
+	e.judge(now, w, r, o)
 }
 
 // judge closes a worker whose runs fail in a row.
-func (e *Executor) judge(now time.Duration, w *worker, o task.Outcome) {
+func (e *Executor) judge(now time.Duration, w *worker, r *run, o task.Outcome) {
 	switch o {
 	case task.Done:
+		e.ran(w, r, now-r.began)
 		w.failures, w.pause, w.probing = 0, 0, false
 	case task.Failed:
 		if w.failures++; w.failures >= failuresToEject {
--- a/executor/place_test.go
+++ b/executor/place_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -207,3 +208,48 @@
 	assert.Equal(t, r.outcomes(ownerA, one.ID), "started done ")
 	assert.Assert(t, !r.e.Rooms(r.now)[0].Usable)
 }
+
+// Two thirds of the workers are fast and one third takes two and a half times as long. Long
+// tasks are late on the slow ones, short ones are in time there: each goes where it can be in
+// time, and takes no fast room that it doesn't need. What is declared is off by half.
+func TestLongTasksGoToFastWorkers(t *testing.T) {
+	r := newRig(t)
+	r.hold("fast", "fast too", "slow")
+	took := map[string]float64{"fast": 0.7, "fast too": 0.7, "slow": 1.7}
+	n := uint32(0)
+	run := func(expected time.Duration) string {
+		n++
+		one := testTask("job", n)
+		one.Expected, one.Due = expected, r.now+expected*16/10+60*time.Millisecond
+		r.e.Offer(r.now, ownerA, []task.Task{one})
+		c := r.take(CallStart, "")
+		r.answer(c, Answer{Verdict: OK})
+		off := []float64{0.67, 1.5}[n/3%2]
+		r.now += time.Duration(off * took[c.Worker] * float64(expected))
+		r.calls = slices.DeleteFunc(r.calls, func(c Call) bool { return c.Kind != CallPoll })
+		poll := r.take(CallPoll, c.Worker)
+		r.answer(poll, Answer{Verdict: OK, Ended: []Ended{endOf(uint64(n), one.ID, 1, "done")}})
+		return c.Worker
+	}
+	only := func(worker string) {
+		for id, w := range r.e.workers {
+			w.pausedUntil = 0
+			if id != worker {
+				w.pausedUntil = time.Hour
+			}
+		}
+	}
+	for range 6 {
+		for _, id := range []string{"fast", "fast too", "slow"} { // as the others are busy
+			only(id)
+			run(100 * time.Millisecond)
+		}
+	}
+	for _, w := range r.e.workers {
+		w.pausedUntil = 0
+	}
+	assert.Assert(t, run(800*time.Millisecond) != "slow")
+	assert.Equal(t, run(60*time.Millisecond), "slow")
+	only("slow")
+	assert.Equal(t, run(800*time.Millisecond), "slow", "late is better than not at all")
+}
--- /dev/null
+++ b/executor/speed.go
@@ -0,0 +1,49 @@
+package executor
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// speedRuns is how many runs a worker's speed is the mean of, older ones counting less.
+	speedRuns = 8
+	// knownAfter is how many runs tell a worker's speed. Declared run times are off by a
+	// factor of 1.5, so by then the mean is off by a fifth.
+	knownAfter = 4
+	// usualRuns is the same for what is usual among this executor's workers.
+	usualRuns = 200
+	// alike is by how much, as a logarithm, a worker's run times may differ from what is usual
+	// before it counts as slower or faster: less is chance, or makes no job late.
+	alike = 0.25
+)
+
+// pace is how long runs take compared with what was declared, as a mean of logarithms: one
+// task that takes ten times as long as declared then counts as much as one that takes a tenth.
+type pace struct {
+	mean float64
+	runs int
+}
+
+func (p *pace) observe(declared, took time.Duration, memory int) {
+	p.runs++
+	p.mean += (math.Log(float64(took)/float64(declared)) - p.mean) / float64(min(p.runs, memory))
+}
+
+// ran notes how long a run took that this executor started and that ended well.
+func (e *Executor) ran(w *worker, r *run, took time.Duration) {
+	if r.deadline == 0 || r.task.Expected <= 0 || took <= 0 {
+		return
+	}
+	w.pace.observe(r.task.Expected, took, speedRuns)
+	e.usual.observe(r.task.Expected, took, usualRuns)
+}
+
+// slowness is how many times as long as usual the worker's runs take; 1 where that isn't
+// known, or doesn't stand out.
+func (e *Executor) slowness(w *worker) float64 {
+	if difference := w.pace.mean - e.usual.mean; w.pace.runs >= knownAfter && math.Abs(difference) > alike {
+		return math.Exp(difference)
+	}
+	return 1
+}
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -112,6 +112,8 @@
 	pausedUntil, pause time.Duration
 	// failures counts failed runs in a row.
 	failures int
+	// pace is how fast it is.
+	pace pace
 	// probing: after it was closed for its runs, the worker gets one task at a time until
 	// one has ended well.
 	probing bool
