--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -18,6 +18,7 @@
 type loadCommand struct {
 	Run        loadRunCommand        `cmd:"" default:"withargs" help:"Send jobs to running entries and report what their callers see."`
 	Experiment loadExperimentCommand `cmd:"" help:"Run entries, backend servers and platform in this process under a load and compare policies."`
+	Fleet      loadFleetCommand      `cmd:"" help:"Work out what the daemons of a large fleet hold, read and send at several sizes."`
 }
 
 // loadRunCommand sends a load to running entries.
@@ -116,6 +117,25 @@
 	return err
 }
 
+// loadFleetCommand works out a fleet at several sizes.
+type loadFleetCommand struct {
+	File string `arg:"" help:"Fleet's profile, in JSON."`
+	JSON bool   `name:"json" help:"Print the reports as JSON."`
+}
+
+// Run prints a line for each size.
+func (c *loadFleetCommand) Run(s *streams) error {
+	p, err := load.ReadFleetProfile(c.File)
+	if err != nil {
+		return err
+	}
+	reports := load.PlanFleet(p)
+	if c.JSON {
+		return printJSON(s.out, reports)
+	}
+	return load.WriteFleetTable(s.out, reports)
+}
+
 // untilSignal returns a context that ends with SIGINT or SIGTERM.
 func untilSignal() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- /dev/null
+++ b/internal/load/fleet.go
@@ -0,0 +1,226 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/fleet"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/registry"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+const (
+	maxFleetDaemons = 4000
+	maxFleetWorkers = 40_000
+)
+
+// ReadFleetProfile reads a fleet's profile from a file. An error names the field and what is
+// accepted.
+func ReadFleetProfile(file string) (schema.FleetProfile, error) {
+	var p schema.FleetProfile
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return p, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&p); err != nil {
+		return p, errors.Wrapf(err, "%s is not a fleet's profile", file)
+	}
+	return p, errors.Wrapf(checkFleetProfile(p), "%s", file)
+}
+
+func checkFleetProfile(p schema.FleetProfile) error {
+	if len(p.Daemons) == 0 {
+		return errors.New("daemons is empty")
+	}
+	for _, n := range p.Daemons {
+		if n < 1 || n > maxFleetDaemons {
+			return errors.Newf("daemons has %d; accepted are 1 to %d", n, maxFleetDaemons)
+		}
+		if w := float64(n) * p.WorkersPerDaemon; !(w >= 0 && w <= maxFleetWorkers) {
+			return errors.Newf("workers_per_daemon is %v; accepted are 0 and more, up to %d workers in all", p.WorkersPerDaemon, maxFleetWorkers)
+		}
+	}
+	if p.Domains < 1 || p.Domains > 100 {
+		return errors.Newf("domains is %d; accepted are 1 to 100", p.Domains)
+	}
+	if p.RenewalMs < 1 || p.EntryBytes < 1 || !(p.StoreMbps > 0) {
+		return errors.New("renewal_ms, entry_bytes and store_mbps have to be above 0")
+	}
+	sum := 0.0
+	for i, m := range p.Machines {
+		if !(m.Share > 0 && m.Cores > 0 && m.Mbps > 0) {
+			return errors.Newf("machines: share, cores and mbps of entry %d have to be above 0", i)
+		}
+		sum += m.Share
+	}
+	if math.Abs(sum-1) > 0.001 {
+		return errors.Newf("machines: the shares add up to %.3f; accepted is 1", sum)
+	}
+	return nil
+}
+
+// plannedDaemon is a daemon of a fleet that is worked out.
+type plannedDaemon struct {
+	fleet.Place
+	mbps float64
+}
+
+// PlanFleet works out what the daemons of a fleet hold, read and send at each size, by the same
+// rules as they do: cells, readers, holders and the pace of heartbeats are the product's own.
+func PlanFleet(p schema.FleetProfile) (reports []schema.FleetReport) {
+	for _, n := range p.Daemons {
+		reports = append(reports, planSize(p, int(n)))
+	}
+	return reports
+}
+
+func planSize(p schema.FleetProfile, n int) schema.FleetReport {
+	daemons, places := plannedDaemons(p, n)
+	workers := make([]executor.WorkerInfo, int(float64(n)*p.WorkersPerDaemon))
+	for i := range workers {
+		workers[i] = executor.WorkerInfo{ID: fmt.Sprintf("worker-%d", i), Domain: fmt.Sprint(i % int(p.Domains))}
+	}
+	cells := fleet.Cells{}.Fit(n)
+	r := schema.FleetReport{Daemons: int32(n), Workers: int32(len(workers)), Cells: int32(cells.Count())}
+	var sizes, shares, held, beats []float64
+	narrowest := math.Inf(1)
+	for cell := range cells.Count() {
+		var members []plannedDaemon
+		for _, d := range daemons {
+			if cells.Of(d.Address) == cell {
+				members = append(members, d)
+			}
+		}
+		own := cells.Workers(cell, workers, places)
+		sizes, shares = append(sizes, float64(len(members))), append(shares, float64(len(own)))
+		held = append(held, holdings(own, members)...)
+		if peers := len(members) - 1; peers > 0 {
+			rate := float64(peers) * float64(time.Second) / float64(fleet.HeartbeatInterval(peers))
+			beats = append(beats, slices.Repeat([]float64{rate}, len(members))...)
+		}
+		for _, mbps := range readerLinks(members, cells.Count() > 1) {
+			r.Readers++
+			if mbps <= leastLink(p) {
+				r.NarrowReaders++
+			}
+			narrowest = min(narrowest, mbps)
+		}
+	}
+	r.CellDaemons, r.CellWorkers, r.Held, r.Heartbeats = rangeOf(sizes), rangeOf(shares), rangeOf(held), rangeOf(beats)
+	r.Holders = int32(len(held))
+	planReading(&r, p, narrowest)
+	return r
+}
+
+// planReading works out what the reading of entries takes.
+func planReading(r *schema.FleetReport, p schema.FleetProfile, narrowest float64) {
+	const kilo, mega, bits = 1e3, 1e6, 8
+	entries := float64(r.Workers) * float64(p.EntryBytes)
+	second := entries * kilo / float64(p.RenewalMs)
+	r.ReaderKbytes = second / kilo
+	r.NarrowLinkShare = second * bits / mega / narrowest
+	r.StartMbytes = entries * float64(r.Readers) / mega
+	r.StartStoreS = r.StartMbytes * bits / p.StoreMbps
+	r.StartReaderS = entries * bits / mega / narrowest
+	r.StartAllS = entries * float64(r.Daemons) * bits / mega / p.StoreMbps
+}
+
+// plannedDaemons are daemons of all kinds of machines in all failure domains.
+func plannedDaemons(p schema.FleetProfile, n int) (list []plannedDaemon, places []fleet.Place) {
+	domains, kind, before := int(p.Domains), 0, 0.0
+	for i := range n {
+		// Kinds one after the other, so that each domain has its part of each.
+		for kind < len(p.Machines)-1 && float64(i) >= (before+p.Machines[kind].Share)*float64(n) {
+			before += p.Machines[kind].Share
+			kind++
+		}
+		d := plannedDaemon{mbps: p.Machines[kind].Mbps, Place: fleet.Place{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % domains), byte(i / domains / 250), byte(1 + i/domains%250)}), 8000),
+			Domain:  fmt.Sprint(i % domains), Weight: p.Machines[kind].Cores,
+		}}
+		list, places = append(list, d), append(places, d.Place)
+	}
+	return list, places
+}
+
+// holdings are the numbers of workers of those daemons of a cell that hold any.
+func holdings(workers []executor.WorkerInfo, members []plannedDaemon) (held []float64) {
+	var list []fleet.Member
+	for _, m := range members {
+		list = append(list, fleet.Member{Process: member.Process{Address: m.Address}, Domain: m.Domain, Weight: m.Weight})
+	}
+	counts := make(map[netip.AddrPort]int)
+	for _, holder := range fleet.Assign(workers, list) {
+		counts[holder.Address]++
+	}
+	for _, n := range counts {
+		held = append(held, float64(n))
+	}
+	return held
+}
+
+// readerLinks are the links, in Mbit/s, of those daemons of a cell that read for all.
+func readerLinks(members []plannedDaemon, divided bool) (mbps []float64) {
+	var able []registry.Reader
+	links := make(map[netip.AddrPort]float64)
+	for _, m := range members {
+		able = append(able, registry.Reader{Process: member.Process{Address: m.Address}, Domain: m.Domain, Weight: m.Weight})
+		links[m.Address] = m.mbps
+	}
+	if !registry.Relayed(len(members)-1, divided) {
+		for _, m := range members {
+			mbps = append(mbps, m.mbps)
+		}
+		return mbps
+	}
+	for _, reader := range registry.Readers(able) {
+		mbps = append(mbps, links[reader.Address])
+	}
+	return mbps
+}
+
+func leastLink(p schema.FleetProfile) float64 {
+	least := math.Inf(1)
+	for _, m := range p.Machines {
+		least = min(least, m.Mbps)
+	}
+	return least
+}
+
+func rangeOf(list []float64) schema.FleetRange {
+	if len(list) == 0 {
+		return schema.FleetRange{}
+	}
+	slices.Sort(list)
+	return schema.FleetRange{Least: list[0], Middle: list[len(list)/2], Most: list[len(list)-1]}
+}
+
+// WriteFleetTable writes reports of several sizes side by side, one line each.
+func WriteFleetTable(w io.Writer, reports []schema.FleetReport) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "daemons\tworkers\tcells\tcell's daemons\tcell's workers\tholders\theld\theartbeats/s\treaders\tnarrow\treads KB/s\tof narrow link\tstart MB\tstore s\treader s\tall read s")
+	for _, r := range reports {
+		fmt.Fprintf(t, "%d\t%d\t%d\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%.0f\t%.0f%%\t%.1f\t%.2f\t%.2f\t%.2f\n",
+			r.Daemons, r.Workers, r.Cells, span(r.CellDaemons), span(r.CellWorkers), r.Holders, span(r.Held), span(r.Heartbeats),
+			r.Readers, r.NarrowReaders, r.ReaderKbytes, 100*r.NarrowLinkShare, r.StartMbytes, r.StartStoreS, r.StartReaderS, r.StartAllS)
+	}
+	return t.Flush()
+}
+
+func span(r schema.FleetRange) string {
+	return fmt.Sprintf("%.0f/%.0f/%.0f", r.Least, r.Middle, r.Most)
+}
--- /dev/null
+++ b/internal/load/fleet_test.go
@@ -0,0 +1,60 @@
+package load
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// wholeFleet is a fleet in which one machine in ten is strong.
+func wholeFleet(sizes ...int32) schema.FleetProfile {
+	return schema.FleetProfile{
+		Daemons: sizes, WorkersPerDaemon: 10.6, Domains: 5, RenewalMs: 1500, EntryBytes: 430, StoreMbps: 1000,
+		Machines: []schema.FleetMachine{{Share: 0.106, Cores: 1.6, Mbps: 1000}, {Share: 0.894, Cores: 0.192, Mbps: 25}},
+	}
+}
+
+// What a daemon spends on its peers must not grow with the fleet, and at a start the store must
+// not be read by all: the sum of what all daemons read grows with the square of the fleet.
+func TestWhatGrowsWithTheFleet(t *testing.T) {
+	r := PlanFleet(wholeFleet(50, 236, 1000))
+	assert.Equal(t, r[1].Cells, int32(16))
+	for _, one := range r {
+		assert.Assert(t, one.Heartbeats.Most <= 200, "%d daemons: %.0f heartbeats a second", one.Daemons, one.Heartbeats.Most)
+		assert.Assert(t, one.CellDaemons.Middle <= 28)
+		assert.Equal(t, one.Readers, 2*one.Cells)
+	}
+	assert.Assert(t, r[1].StartAllS > 1.5, "all would take %.2f s", r[1].StartAllS)
+	assert.Assert(t, r[1].StartStoreS < 0.5, "readers take %.2f s", r[1].StartStoreS)
+}
+
+// A profile with a wrong value is refused with the field's name and the accepted values.
+func TestWrongFleetProfileNamesField(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "fleet.json")
+	good := `{"daemons":[20],"workers_per_daemon":4,"domains":2,"machines":[{"share":1,"cores":1,"mbps":100}],"renewal_ms":1500,"entry_bytes":400,"store_mbps":1000}`
+	assert.NilError(t, os.WriteFile(file, []byte(good), 0o600))
+	p, err := ReadFleetProfile(file)
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, WriteFleetTable(&out, PlanFleet(p)))
+	assert.Assert(t, strings.Contains(out.String(), "20       80"), out.String())
+	for change, want := range map[[2]string]string{
+		{"[20]", "[]"}:                 "daemons is empty",
+		{"[20]", "[0]"}:                "accepted are 1 to 4000",
+		{`"domains":2`, `"domains":0`}: "domains is 0",
+		{`"share":1`, `"share":0.5`}:   "add up to 0.500",
+		{`"cores":1`, `"cores":-1`}:    "above 0",
+		{`"daemons"`, `"deamons"`}:     `unknown field "deamons"`,
+		{"1500", "0"}:                  "renewal_ms",
+		{`"workers_per_daemon":4`, `"workers_per_daemon":4000`}: "workers in all",
+	} {
+		assert.NilError(t, os.WriteFile(file, []byte(strings.Replace(good, change[0], change[1], 1)), 0o600))
+		_, err := ReadFleetProfile(file)
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/internal/node/readers_test.go
+++ b/internal/node/readers_test.go
@@ -102,3 +102,12 @@
 		}
 	})
 }
+
+// The hash has thrown few daemons into a cell of a large fleet. They too have readers: each of
+// them reading every worker's renewals by itself would be what grows with the fleet.
+func TestSmallCellHasReaders(t *testing.T) {
+	n := newLinked(t, 7)
+	assert.Assert(t, !n.fleet.wide(), "a small fleet")
+	n.fleet.cells = n.fleet.cells.Fit(100)
+	assert.Assert(t, n.fleet.wide())
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -101,7 +101,7 @@
 	if f.relay.known > 0 || f.relay.reader || !f.listed {
 		return false
 	}
-	return registry.Relayed(f.live()+len(f.unlinked(n.self))) && now < f.placedAt+2*assumeTime
+	return registry.Relayed(f.live()+len(f.unlinked(n.self)), f.cells.Count() > 1) && now < f.placedAt+2*assumeTime
 }
 
 // tell is what this daemon tells of its reading.
@@ -146,7 +146,7 @@
 }
 
 // wide reports whether some daemons read for all.
-func (f *fleetView) wide() bool { return registry.Relayed(f.live()) }
+func (f *fleetView) wide() bool { return registry.Relayed(f.live(), f.cells.Count() > 1) }
 
 // ahead returns a reader that knows more than this daemon; nil when there is none. It is
 // another one than was asked last, if there are two. What a reader knows is told by its
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -73,8 +73,11 @@
 // place spreads the reading over equal daemons; it outlives a restart.
 func place(r Reader) uint64 { return xxhash.Sum64String(r.Address.String()) }
 
-// Relayed reports whether in a fleet of so many linked daemons some read for all.
-func Relayed(daemons int) bool { return daemons >= relayFrom }
+// Relayed reports whether some daemons read for all: in a fleet of so many linked ones, and in
+// each cell of a divided one, however few daemons the hash has thrown into it. Cells of a fleet
+// of 236 have 8 to 21 daemons; were all of the small ones to read, there would be twice as many
+// readers.
+func Relayed(linked int, divided bool) bool { return divided || linked >= relayFrom }
 
 // Told is what a reader tells of its reading, beside the changes that it sends.
 type Told struct {
--- a/schema/load_plain.go
+++ b/schema/load_plain.go
@@ -155,3 +155,65 @@
 	// Set when the machine was too busy for the figures to be believed.
 	Saturated bool `json:"saturated"`
 }
+
+// FleetProfile says what a fleet of daemons is made of, for working out what each of them
+// holds, reads and sends at several sizes.
+type FleetProfile struct {
+	// Numbers of daemons to work out.
+	Daemons []int32 `json:"daemons"`
+	// Workers for each daemon.
+	WorkersPerDaemon float64 `json:"workers_per_daemon"`
+	// Failure domains, over which daemons and workers are spread evenly.
+	Domains int32 `json:"domains"`
+	// Kinds of machines of daemons; their shares add up to 1.
+	Machines []FleetMachine `json:"machines"`
+	// Milliseconds between a worker's renewals of its entry.
+	RenewalMs int64 `json:"renewal_ms"`
+	// Bytes of an entry in an answer of the store.
+	EntryBytes int64 `json:"entry_bytes"`
+	// Megabits a second of the store's link.
+	StoreMbps float64 `json:"store_mbps"`
+}
+
+// FleetMachine is a kind of machine.
+type FleetMachine struct {
+	Share float64 `json:"share"`
+	Cores float64 `json:"cores"`
+	Mbps  float64 `json:"mbps"`
+}
+
+// FleetReport is what was worked out for one size.
+type FleetReport struct {
+	Daemons int32 `json:"daemons"`
+	Workers int32 `json:"workers"`
+	Cells   int32 `json:"cells"`
+	// Daemons and workers of a cell.
+	CellDaemons FleetRange `json:"cell_daemons"`
+	CellWorkers FleetRange `json:"cell_workers"`
+	// Workers that a daemon holds, of those that hold any, and how many hold any.
+	Held    FleetRange `json:"held"`
+	Holders int32      `json:"holders"`
+	// Heartbeats that a daemon sends a second.
+	Heartbeats FleetRange `json:"heartbeats"`
+	// Daemons that read the workers' entries for others, and those of them that are of the
+	// machines with the narrowest link.
+	Readers       int32 `json:"readers"`
+	NarrowReaders int32 `json:"narrow_readers"`
+	// Kilobytes a second that a reader reads, and what part of the narrowest reader's link.
+	ReaderKbytes    float64 `json:"reader_kbytes"`
+	NarrowLinkShare float64 `json:"narrow_link_share"`
+	// Megabytes that the readers take from the store when all start at once, and the seconds in
+	// which its link, and the narrowest reader's, carries them.
+	StartMbytes  float64 `json:"start_mbytes"`
+	StartStoreS  float64 `json:"start_store_s"`
+	StartReaderS float64 `json:"start_reader_s"`
+	// The same if all daemons read.
+	StartAllS float64 `json:"start_all_s"`
+}
+
+// FleetRange is the least, the middle and the largest of several figures.
+type FleetRange struct {
+	Least  float64 `json:"least"`
+	Middle float64 `json:"middle"`
+	Most   float64 `json:"most"`
+}
