--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -109,7 +109,7 @@
 
 func newNode(s platform.Settings, c schema.NodeSettings, log *logrus.Logger, q *logging.Queue) (*node.Node, error) {
 	n, err := node.New(node.Config{
-		Name: s.Name, Domain: s.Domain, Cores: s.Cores, FirstStart: s.FirstStart, Address: s.Control, Listen: c.PeerListen, Seeds: s.Seeds,
+		Name: s.Name, Domain: s.Domain, Cores: s.Cores, FirstStart: s.FirstStart, Address: s.Control, Listen: c.PeerListen, Seeds: s.Seeds, FeedPort: s.Feed.Port(),
 		Lease: min(c.Lease, s.Lease), MaxLease: s.Lease, StopWithin: s.StopWithin, EntryTTL: max(c.EntryTtl, s.MinStoreLease),
 		StopDelay: c.StopDelay, StopTimeout: c.StopTimeout, StoreWrites: s.StoreWrites, Retention: s.Retention,
 	}, platform.Connect(s), log)
@@ -144,6 +144,10 @@
 		servers:   []*http.Server{server(front), server(platform.NewReady(n.Ready))},
 		addresses: []netip.AddrPort{s.Front, s.Ready},
 	}
+	if s.Feed.IsValid() {
+		servers.servers = append(servers.servers, server(n.FeedHandler()))
+		servers.addresses = append(servers.addresses, s.Feed)
+	}
 	if c.MetricsPort != 0 {
 		servers.servers = append(servers.servers, server(metricsHandler(n)))
 		servers.addresses = append(servers.addresses, netip.AddrPortFrom(s.Front.Addr(), c.MetricsPort))
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -97,7 +97,8 @@
 	cells := fleet.Cells{}.Fit(n)
 	r := schema.FleetReport{Daemons: int32(n), Workers: int32(len(workers)), Cells: int32(cells.Count())}
 	var sizes, shares, held, beats []float64
-	narrowest := math.Inf(1)
+	var readers []registry.Reader
+	links := make(map[netip.AddrPort]float64)
 	for cell := range cells.Count() {
 		var members []plannedDaemon
 		for _, d := range daemons {
@@ -112,14 +113,20 @@
 			rate := float64(peers) * float64(time.Second) / float64(fleet.HeartbeatInterval(peers))
 			beats = append(beats, slices.Repeat([]float64{rate}, len(members))...)
 		}
-		for _, mbps := range readerLinks(members, cells.Count() > 1) {
-			r.Readers++
-			if mbps <= leastLink(p) {
-				r.NarrowReaders++
-			}
-			narrowest = min(narrowest, mbps)
+		for _, m := range members {
+			links[m.Address] = m.mbps
 		}
+		readers = append(readers, readersOf(members, cells.Count() > 1)...)
+	}
+	roots := readers
+	if cells.Count() > 1 {
+		roots = registry.Roots(readers)
+	}
+	narrowest := math.Inf(1)
+	for _, root := range roots {
+		narrowest = min(narrowest, links[root.Address])
 	}
+	r.Readers, r.Roots = int32(len(readers)), int32(len(roots))
 	r.CellDaemons, r.CellWorkers, r.Held, r.Heartbeats = rangeOf(sizes), rangeOf(shares), rangeOf(held), rangeOf(beats)
 	r.Holders = int32(len(held))
 	planReading(&r, p, narrowest)
@@ -131,12 +138,14 @@
 	const kilo, mega, bits = 1e3, 1e6, 8
 	entries := float64(r.Workers) * float64(p.EntryBytes)
 	second := entries * kilo / float64(p.RenewalMs)
-	r.ReaderKbytes = second / kilo
+	r.RootKbytes = second / kilo
 	r.NarrowLinkShare = second * bits / mega / narrowest
-	r.StartMbytes = entries * float64(r.Readers) / mega
-	r.StartStoreS = r.StartMbytes * bits / p.StoreMbps
-	r.StartReaderS = entries * bits / mega / narrowest
-	r.StartAllS = entries * float64(r.Daemons) * bits / mega / p.StoreMbps
+	r.StoreLinkShare = second * bits / mega * float64(r.Roots) / p.StoreMbps
+	all := entries * bits / mega
+	r.StartRootS = all / narrowest
+	r.StartStoreS = all * float64(r.Roots) / p.StoreMbps
+	r.StartReadersS = all * float64(r.Readers) / p.StoreMbps
+	r.StartAllS = all * float64(r.Daemons) / p.StoreMbps
 }
 
 // plannedDaemons are daemons of all kinds of machines in all failure domains.
@@ -173,32 +182,17 @@
 	return held
 }
 
-// readerLinks are the links, in Mbit/s, of those daemons of a cell that read for all.
-func readerLinks(members []plannedDaemon, divided bool) (mbps []float64) {
+// readersOf are those daemons of a cell that read for all.
+func readersOf(members []plannedDaemon, divided bool) []registry.Reader {
 	var able []registry.Reader
-	links := make(map[netip.AddrPort]float64)
 	for _, m := range members {
 		able = append(able, registry.Reader{Process: member.Process{Address: m.Address}, Domain: m.Domain, Weight: m.Weight})
-		links[m.Address] = m.mbps
 	}
 	if !registry.Relayed(len(members)-1, divided) {
-		for _, m := range members {
-			mbps = append(mbps, m.mbps)
-		}
-		return mbps
-	}
-	for _, reader := range registry.Readers(able) {
-		mbps = append(mbps, links[reader.Address])
-	}
-	return mbps
-}
-
-func leastLink(p schema.FleetProfile) float64 {
-	least := math.Inf(1)
-	for _, m := range p.Machines {
-		least = min(least, m.Mbps)
+		return able
 	}
-	return least
+	chosen := registry.Readers(able)
+	return slices.DeleteFunc(able, func(r registry.Reader) bool { return !slices.Contains(chosen, r.Process) })
 }
 
 func rangeOf(list []float64) schema.FleetRange {
@@ -212,11 +206,11 @@
 // WriteFleetTable writes reports of several sizes side by side, one line each.
 func WriteFleetTable(w io.Writer, reports []schema.FleetReport) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "daemons\tworkers\tcells\tcell's daemons\tcell's workers\tholders\theld\theartbeats/s\treaders\tnarrow\treads KB/s\tof narrow link\tstart MB\tstore s\treader s\tall read s")
+	fmt.Fprintln(t, "daemons\tworkers\tcells\tcell's daemons\tcell's workers\tholders\theld\theartbeats/s\treaders\troots\troot KB/s\tof its link\tof store's link\tstart: store s\troot s\treaders s\tall s")
 	for _, r := range reports {
-		fmt.Fprintf(t, "%d\t%d\t%d\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%.0f\t%.0f%%\t%.1f\t%.2f\t%.2f\t%.2f\n",
+		fmt.Fprintf(t, "%d\t%d\t%d\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%.0f\t%.0f%%\t%.0f%%\t%.2f\t%.2f\t%.2f\t%.2f\n",
 			r.Daemons, r.Workers, r.Cells, span(r.CellDaemons), span(r.CellWorkers), r.Holders, span(r.Held), span(r.Heartbeats),
-			r.Readers, r.NarrowReaders, r.ReaderKbytes, 100*r.NarrowLinkShare, r.StartMbytes, r.StartStoreS, r.StartReaderS, r.StartAllS)
+			r.Readers, r.Roots, r.RootKbytes, 100*r.NarrowLinkShare, 100*r.StoreLinkShare, r.StartStoreS, r.StartRootS, r.StartReadersS, r.StartAllS)
 	}
 	return t.Flush()
 }
--- /dev/null
+++ b/internal/node/cellfeed_test.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/registry"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// stubFeed is a store's feed that counts its calls.
+type stubFeed struct{ calls int }
+
+func (s *stubFeed) Read(context.Context) ([]registry.Item, int64, error) {
+	s.calls++
+	return nil, 1000, nil
+}
+
+func (s *stubFeed) Watch(context.Context, int64, time.Duration) (registry.Changes, error) {
+	s.calls++
+	return registry.Changes{Revision: 1000}, nil
+}
+
+// rootAndReader are a root that has read two workers up to revision 20, and a reader of another
+// cell with its store.
+func rootAndReader(t *testing.T) (root *idle, feed *cellFeed, store *stubFeed) {
+	root = newLinked(t, 0)
+	root.clock.start = time.Now().Add(-10 * time.Second)
+	root.fleet.relay.reader = true
+	follower{root.Node, true}.Snapshot([]registry.Item{workerEntry("v", "", 3), workerEntry("w", "", 4)}, 20)
+	served := httptest.NewServer(root.FeedHandler())
+	t.Cleanup(served.Close)
+
+	n := newLinked(t, 0)
+	n.clock.start = time.Now().Add(-10 * time.Second)
+	n.config.FeedPort = netip.MustParseAddrPort(served.Listener.Addr().String()).Port()
+	var items []registry.Item
+	for i := range 100 {
+		content, err := proto.Marshal(&schema.Identity{Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: "a", MilliCores: 1600})
+		assert.NilError(t, err)
+		items = append(items, registry.Item{Kind: registry.Daemon, ID: fmt.Sprint(i), Content: content, Revision: 1})
+	}
+	n.self.Weight = 0.1
+	n.takeDaemons(0, items)
+	n.fleet.relay.reader = true
+	store = &stubFeed{}
+	n.platform.Fleet = store
+	return root, newCellFeed(n.Node), store
+}
+
+// A reader of another cell takes from a root what the root has read, and what changes as soon as
+// the root knows it; workers that only renew their entries cost nothing.
+func TestReaderTakesWhatARootHasRead(t *testing.T) {
+	root, feed, store := rootAndReader(t)
+	items, revision, err := feed.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(items), 2)
+	assert.Equal(t, revision, int64(20))
+	go func() {
+		time.Sleep(30 * time.Millisecond)
+		follower{root.Node, true}.Changed(registry.Changes{Items: []registry.Item{workerEntry("v", "draining", 25), workerEntry("w", "renewed", 26)}, Revision: 27})
+	}()
+	began := time.Now()
+	c, err := feed.Watch(t.Context(), 20, 700*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Items), 1)
+	assert.Equal(t, c.Revision, int64(27))
+	assert.Assert(t, time.Since(began) < 400*time.Millisecond, "it came after %s", time.Since(began))
+	assert.Equal(t, store.calls, 0)
+	assert.Assert(t, feed.n.fleet.relay.rootAge < 200*time.Millisecond)
+}
+
+// What a root tells is as old as the store's last word to the root, and those who rely on the
+// reader judge it by that: a root that the store turns away must not look current.
+func TestAgeIsCarriedAlong(t *testing.T) {
+	root, feed, _ := rootAndReader(t)
+	root.fleet.relay.readAt = root.clock.now() - 600*time.Millisecond
+	items, revision, err := feed.Read(t.Context())
+	assert.NilError(t, err)
+	n := feed.n
+	answered := n.documents.answered
+	follower{n, true}.Snapshot(items, revision)
+	age := n.clock.now() - n.fleet.relay.readAt
+	assert.Assert(t, age >= 600*time.Millisecond && age < 900*time.Millisecond, "%s", age)
+	assert.Equal(t, n.documents.answered, answered, "a root's word is none of the store")
+}
+
+// A root has not heard from the store for a second, or is gone. Its readers read the store.
+func TestReaderLeavesARootThatIsBehind(t *testing.T) {
+	root, feed, store := rootAndReader(t)
+	root.fleet.relay.readAt = root.clock.now() - 2*rootPatience
+	_, revision, err := feed.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, revision, int64(1000))
+	assert.Equal(t, store.calls, 1)
+	assert.Equal(t, feed.n.fleet.relay.root, "")
+}
+
+// A reader was away for longer than a root remembers ends. Changes alone would keep workers that
+// have left: it reads all.
+func TestForgottenEndsAskForAll(t *testing.T) {
+	root, feed, _ := rootAndReader(t)
+	root.fleet.forgotten = 15
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		follower{root.Node, true}.Changed(registry.Changes{Revision: 30})
+	}()
+	_, err := feed.Watch(t.Context(), 10, 700*time.Millisecond)
+	assert.Assert(t, errors.Is(err, registry.ErrForgotten))
+}
+
+// Roots, daemons of an undivided fleet, and those that read for nobody ask no root.
+func TestWhoAsksRoots(t *testing.T) {
+	_, feed, _ := rootAndReader(t)
+	n := feed.n
+	assert.Assert(t, len(n.roots()) > 0)
+	n.fleet.relay.reader = false
+	assert.Equal(t, len(n.roots()), 0)
+	n.fleet.relay.reader = true
+	n.self.Weight = 9
+	assert.Equal(t, len(n.roots()), 0, "the strongest of its domain")
+	n.self.Weight = 0.1
+	n.fleet.cells = n.fleet.cells.Fit(20)
+	assert.Equal(t, len(n.roots()), 0, "one cell")
+}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -67,9 +67,15 @@
 	m.count("kept_requests", "verdict", v.String(), "reason", string(why))
 }
 func (m *metricSet) ledgerNews(k ledger.NewsKind) { m.count("kept_jobs", "news", k.String()) }
-func (m *metricSet) entryInvalid(kind string)     { m.count("invalid_entries", "kind", kind) }
-func (m *metricSet) storeFailed(call string)      { m.count("store_failures", "call", call) }
-func (m *metricSet) peerLost(refused bool)        { m.count("peer_losses", "refused", fmt.Sprint(refused)) }
+
+// entriesRead takes the age of the store's word when entries were read.
+func (m *metricSet) entriesRead(age time.Duration) {
+	m.set.GetOrCreateHistogram("lavendercleat_entries_age_seconds").Update(age.Seconds())
+}
+
+func (m *metricSet) entryInvalid(kind string) { m.count("invalid_entries", "kind", kind) }
+func (m *metricSet) storeFailed(call string)  { m.count("store_failures", "call", call) }
+func (m *metricSet) peerLost(refused bool)    { m.count("peer_losses", "refused", fmt.Sprint(refused)) }
 
 // logEvents writes decisions about tasks and beliefs about workers.
 func (n *Node) logEvents(events []executor.Event) {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -74,8 +74,8 @@
 )
 
 // follow takes what one feed tells.
-func (n *Node) follow(feed registry.Feed, pace registry.FollowConfig) {
-	registry.Follow(n.ctx, feed, pace, follower{n, feed == n.platform.Fleet})
+func (n *Node) follow(feed registry.Feed, pace registry.FollowConfig, fleet bool) {
+	registry.Follow(n.ctx, feed, pace, follower{n, fleet})
 }
 
 // Await waits while other daemons read the workers' entries for this one.
@@ -131,8 +131,8 @@
 // Changed takes changes.
 func (f follower) Changed(c registry.Changes) {
 	items := c.Items
-	f.n.storeAnswered()
 	if !f.fleet {
+		f.n.storeAnswered()
 		for _, i := range items {
 			switch {
 			case i.Kind == registry.RetiredDomain:
@@ -145,11 +145,16 @@
 	}
 	f.n.do(func(now time.Duration) {
 		r := &f.n.fleet.relay
+		if r.root == "" {
+			f.n.documents.answered = now
+		}
 		r.first = r.known == 0
 		r.known = max(r.known, c.Revision)
 		if !c.More {
-			r.readAt, r.knownAt = now, now
+			r.readAt, r.knownAt = now-r.rootAge, now-r.rootAge
+			f.n.metrics.entriesRead(r.rootAge)
 		}
+		r.wake()
 		f.n.takeEntries(now, items)
 		r.first = false
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,9 @@
 	Listen netip.AddrPort
 	// Seeds are addresses of peers to try first.
 	Seeds []netip.AddrPort
+	// FeedPort is where readers of other cells read what this daemon knows of the entries, the
+	// same on all machines; 0: nowhere, and every reader reads the store.
+	FeedPort uint16
 	// Lease is how long each order lets a worker's runs go on; MaxLease and StopWithin are the
 	// workers' own bounds.
 	Lease, MaxLease, StopWithin time.Duration
@@ -129,8 +132,8 @@
 	n.mesh.Start()
 	n.wg.Go(n.findPeers)
 	n.wg.Go(n.ticks)
-	n.wg.Go(func() { n.follow(n.platform.Configuration, configurationPace) })
-	n.wg.Go(func() { n.follow(n.platform.Fleet, fleetPace) })
+	n.wg.Go(func() { n.follow(n.platform.Configuration, configurationPace, false) })
+	n.wg.Go(func() { n.follow(newCellFeed(n), fleetPace, true) })
 	n.wg.Go(n.keepEntry)
 	n.wg.Go(n.inherit)
 	n.wg.Go(n.verifyTitle)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -38,11 +38,25 @@
 	askedAt time.Duration
 	asked   member.Process
 	copies  registry.Copies
+	// root is the daemon of another cell that told what was read last, and rootAge how long
+	// before it had heard from the store; "" and 0: the store itself.
+	root    string
+	rootAge time.Duration
+	// read is closed with the next read; nil: nobody waits for it.
+	read chan struct{}
 	// packed is the list of all entries at packedAt, compressed.
 	packed   []byte
 	packedAt int64
 }
 
+// wake tells readers of other cells that there may be changes.
+func (r *relay) wake() {
+	if r.read != nil {
+		close(r.read)
+		r.read = nil
+	}
+}
+
 // note keeps a change to be passed on.
 func (r *relay) note(i registry.Item) {
 	if r.reader && !r.first {
@@ -306,8 +320,7 @@
 		}
 	}
 	var workers, daemons []registry.Item
-	for _, e := range entries {
-		i := registry.Item{Kind: registry.Kind(e.GetKind()), ID: e.GetId(), Content: e.GetContent(), Revision: e.GetRevision(), Deleted: e.GetDeleted()}
+	for _, i := range itemsOf(entries) {
 		switch i.Kind {
 		case registry.Worker:
 			workers = append(workers, i)
--- a/schema/load_plain.go
+++ b/schema/load_plain.go
@@ -195,20 +195,21 @@
 	Holders int32      `json:"holders"`
 	// Heartbeats that a daemon sends a second.
 	Heartbeats FleetRange `json:"heartbeats"`
-	// Daemons that read the workers' entries for others, and those of them that are of the
-	// machines with the narrowest link.
-	Readers       int32 `json:"readers"`
-	NarrowReaders int32 `json:"narrow_readers"`
-	// Kilobytes a second that a reader reads, and what part of the narrowest reader's link.
-	ReaderKbytes    float64 `json:"reader_kbytes"`
+	// Daemons that tell others of the workers' entries, and those of them that read the store.
+	Readers int32 `json:"readers"`
+	Roots   int32 `json:"roots"`
+	// Kilobytes a second that a root reads, what part that is of the narrowest root's link, and
+	// what part of the store's link all of them take.
+	RootKbytes      float64 `json:"root_kbytes"`
 	NarrowLinkShare float64 `json:"narrow_link_share"`
-	// Megabytes that the readers take from the store when all start at once, and the seconds in
-	// which its link, and the narrowest reader's, carries them.
-	StartMbytes  float64 `json:"start_mbytes"`
-	StartStoreS  float64 `json:"start_store_s"`
-	StartReaderS float64 `json:"start_reader_s"`
-	// The same if all daemons read.
-	StartAllS float64 `json:"start_all_s"`
+	StoreLinkShare  float64 `json:"store_link_share"`
+	// Seconds in which the store's link, and the narrowest root's, carries what the roots read
+	// when all start at once.
+	StartStoreS float64 `json:"start_store_s"`
+	StartRootS  float64 `json:"start_root_s"`
+	// Seconds of the store's link if all readers read it, and if all daemons did.
+	StartReadersS float64 `json:"start_readers_s"`
+	StartAllS     float64 `json:"start_all_s"`
 }
 
 // FleetRange is the least, the middle and the largest of several figures.
