--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -25,6 +25,9 @@
 	maxRoomOffers = 4
 	// maxPark bounds the wait of a job for any worker at all; a quarter of its time does too.
 	maxPark = 700 * time.Millisecond
+	// minCrashes is how many workers have to go down with a task at least before its job is
+	// given up: one or two may by chance.
+	minCrashes = 3
 	// minRetryAfter is the least time after which a refused caller is told to come back.
 	minRetryAfter = 500 * time.Millisecond
 )
@@ -257,12 +260,30 @@
 		c.giveUp(now, j, ReasonTooLate)
 		return
 	}
+	if c.crashed(now, j, t, r) {
+		return
+	}
 	if r.Outcome == task.Gone && r.Worker != "" {
 		t.Avoid = append(t.Avoid, r.Worker)
 	}
 	c.offer(now, j, t)
 }
 
+// crashed counts a run that went down with its worker, and gives the job up with the last that
+// the queue allows: a task that brings down whatever runs it would take one worker after the
+// other. A kept job is tried on, as such ends don't count as its failures.
+func (c *Coordinator) crashed(now time.Duration, j *job, t *jobTask, r task.Report) bool {
+	switch r.Reason {
+	case executor.ReasonDied, executor.ReasonReborn, executor.ReasonRemoved:
+		t.crashes++
+	}
+	if j.Kept || t.crashes < max(j.Attempts, minCrashes) {
+		return false
+	}
+	c.giveUp(now, j, ReasonCrashes)
+	return true
+}
+
 func (c *Coordinator) notRun(now time.Duration, j *job, t *jobTask, r task.Report) {
 	t.state = blocked
 	if !j.Kept && (r.Reason == executor.ReasonNoRoom || now >= t.StartBy) {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -228,6 +228,21 @@
 	assert.Equal(t, r.answered().Reason, ReasonTooLate)
 }
 
+// A task brings down each worker that it is started on. Its job is given up before it has taken
+// all of them, and one whose workers went down by chance is not.
+func TestTaskThatCrashesWorkers(t *testing.T) {
+	r := newRig(t)
+	r.holder(self, 0, "w1", 1)
+	r.c.Submit(r.now, testJob("j", 1))
+	for _, reason := range []string{executor.ReasonDied, executor.ReasonReborn, executor.ReasonRemoved} {
+		assert.Equal(t, len(r.answers), 0)
+		offers := r.offers(self)
+		r.report(self, offers[len(offers)-1], task.Gone, "w1", reason)
+		r.holder(self, 0, "w1", 1)
+	}
+	assert.Equal(t, r.answered().Reason, ReasonCrashes)
+}
+
 // The deadline ends a job even when no executor says anything.
 func TestDeadline(t *testing.T) {
 	r := newRig(t)
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -79,7 +79,9 @@
 	ReasonDeadline   Reason = "deadline"
 	ReasonHolderLost Reason = "holder_lost"
 	ReasonTooLate    Reason = "too_late_to_restart"
-	ReasonStopping   Reason = "stopping"
+	// ReasonCrashes: workers went down with a task as often as it may fail.
+	ReasonCrashes  Reason = "workers_crashed"
+	ReasonStopping Reason = "stopping"
 	// ReasonNoStore: the store can't take a job that has to be kept.
 	ReasonNoStore Reason = "no_store"
 	// ReasonCanceled: a caller canceled the job while another waited for it.
@@ -123,7 +125,9 @@
 	offeredAt, foreseen time.Duration
 	// failures counts runs that failed, offers all tries.
 	failures, offers int
-	failedRuns       []uint32
+	// crashes counts runs that ended as their worker went down.
+	crashes    int
+	failedRuns []uint32
 	// adopted: an earlier coordinator may have started runs that this one doesn't know of.
 	adopted bool
 	// lostBy is when a lost task is given up, or a kept one surely over.
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -180,7 +180,7 @@
 // workerDied acts on the proof that the incarnation is over: nothing of it runs.
 func (e *Executor) workerDied(now time.Duration, w *worker) {
 	e.event("worker_died", w, nil, fmt.Sprintf("runs=%d", len(w.runs)))
-	e.endAll(now, w, "worker_died")
+	e.endAll(now, w, ReasonDied)
 	w.phase, w.silent = acquiring, w.silent+1
 	w.token, w.polling, w.looking, w.reborn = 0, false, false, false
 	w.clock, w.granted = clock{}, 0
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -98,7 +98,7 @@
 			w.info.Draining = true
 			continue
 		}
-		e.endAll(now, w, "worker_removed")
+		e.endAll(now, w, ReasonRemoved)
 		e.drop(w)
 	}
 	e.step(now)
@@ -235,7 +235,7 @@
 	e.step(now)
 }
 
-// Reasons of reports of NotRun.
+// Reasons of reports of NotRun and Gone.
 const (
 	// ReasonNoRoom: the task waited for room until its last useful start.
 	ReasonNoRoom = "no_room_in_time"
@@ -245,6 +245,12 @@
 	ReasonTaken = "room_taken"
 	// ReasonReclaimed: its coordinator has found room elsewhere.
 	ReasonReclaimed = "reclaimed"
+	// ReasonDied, ReasonReborn and ReasonRemoved are reasons of reports of Gone: the worker went
+	// down with the run. Another incarnation answers, it is back under its ID, or its entry has
+	// vanished.
+	ReasonDied    = "worker_died"
+	ReasonReborn  = "worker_reborn"
+	ReasonRemoved = "worker_removed"
 	// ReasonRecalled: a coordinator has asked for what is known of its job.
 	ReasonRecalled = "recalled"
 )
--- a/executor/rebirth.go
+++ b/executor/rebirth.go
@@ -65,7 +65,7 @@
 	w.born, w.bornAt = born, now
 	for _, r := range w.sorted() {
 		if r.since > 0 {
-			e.end(now, w, r, task.Gone, "worker_reborn")
+			e.end(now, w, r, task.Gone, ReasonReborn)
 		}
 	}
 	w.forgetEnds()
