--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -314,44 +313,6 @@
 // several. The lock is held.
 func (n *Node) reassign() { n.fleet.divide = true }
 
-// outside returns whether a worker is one of another cell.
-func (f *fleetView) outside(own []executor.WorkerInfo) func(id string) bool {
-	inside := make(map[string]bool, len(own))
-	for _, w := range own {
-		inside[w.ID] = true
-	}
-	return func(id string) bool { return f.workers[id] != nil && !inside[id] }
-}
-
-// taken returns those workers of this cell that are not left to their former cells any more,
-// and notes when the next one is not.
-func (f *fleetView) taken(now time.Duration, own []executor.WorkerInfo) []executor.WorkerInfo {
-	if !f.settled || f.assuming { // which cells the workers were of is not known yet
-		return own
-	}
-	f.divideAt = 0
-	outside := f.outside(own)
-	for id, w := range f.workers {
-		if outside(id) {
-			w.stay.See(now, false)
-		}
-	}
-	return slices.DeleteFunc(own, func(i executor.WorkerInfo) bool {
-		ready, _ := f.workers[i.ID].stay.See(now, true)
-		if ready > now && (f.divideAt == 0 || ready < f.divideAt) {
-			f.divideAt = ready
-		}
-		return ready > now
-	})
-}
-
-// forgetStays forgets which workers have been of this cell.
-func (f *fleetView) forgetStays() {
-	for _, w := range f.workers {
-		w.stay = fleet.Stay{}
-	}
-}
-
 // divideWorkers divides the workers among the members that this daemon sees. The lock is held.
 func (n *Node) divideWorkers(now time.Duration) {
 	f := &n.fleet
