--- a/internal/node/cellfeed.go
+++ b/internal/node/cellfeed.go
@@ -26,8 +26,11 @@
 	// feedPath is where a daemon tells readers of other cells what it has read of the store.
 	feedPath = "/entries"
 	// feedTimeout bounds a call to a root besides its wait, and feedDialTimeout the connection.
-	feedTimeout     = 300 * time.Millisecond
-	feedDialTimeout = 200 * time.Millisecond
+	feedTimeout     = 200 * time.Millisecond
+	feedDialTimeout = 150 * time.Millisecond
+	// rootsAsked is how many roots are asked before the store is: each that doesn't answer
+	// makes what is known here older, and with it what all of the cell rely on.
+	rootsAsked = 2
 	// feedSilence is the time after which data that a root doesn't acknowledge breaks the
 	// connection.
 	feedSilence = time.Second
@@ -36,7 +39,7 @@
 	// store, before those that rely on the reader read by themselves.
 	rootPatience = time.Second
 	// avoidRoot is how long a root that didn't answer is not asked again.
-	avoidRoot   = 2 * time.Second
+	avoidRoot   = 5 * time.Second
 	maxFeedBody = 8 << 20
 )
 
@@ -79,13 +82,17 @@
 	return changes, err
 }
 
-// ask asks the roots in turn what has changed after a revision; nil when this daemon is to read
-// the store, or none of them answers.
+// ask asks a root what has changed after a revision, and if it doesn't answer the next one, for
+// what that knows at once; nil when this daemon is to read the store, or neither answers.
 func (f *cellFeed) ask(ctx context.Context, after int64, wait time.Duration) *schema.Registry {
+	asked := 0
 	for _, root := range f.n.roots() {
 		if time.Now().Before(f.avoided[root]) {
 			continue
 		}
+		if asked++; asked > rootsAsked {
+			return nil
+		}
 		g, err := f.fetch(ctx, root, after, wait)
 		if err == nil {
 			f.n.readFrom(root.String(), ms(g.GetAgeMs()))
@@ -94,7 +101,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		f.avoided[root] = time.Now().Add(avoidRoot)
+		f.avoided[root], wait = time.Now().Add(avoidRoot), 0
 		f.n.log.WithFields(logrus.Fields{"event": "root_silent", "root": root, "error": err}).Warn()
 	}
 	return nil
@@ -221,11 +228,12 @@
 	return mux
 }
 
-// awaitRead waits for the next read, or for the first where nothing is known yet.
+// awaitRead waits for a read that shows more than is known up to a revision, unless this daemon
+// hasn't heard from the store lately.
 func (n *Node) awaitRead(ctx context.Context, after int64, wait time.Duration) {
 	n.mu.Lock()
 	r := &n.fleet.relay
-	if after == 0 && r.known > 0 {
+	if r.known > after || r.known > 0 && n.clock.now()-r.readAt > rootPatience {
 		n.mu.Unlock()
 		return
 	}
