--- a/executor/executor.go
+++ b/executor/executor.go
@@ -25,8 +25,8 @@
 	queue   []*queued
 	// answers is how long workers take to answer orders.
 	answers answerTime
-	// usual is the pace of the workers held lately, all together.
-	usual pace
+	// usual is the pace of all workers in use.
+	usual usualPace
 	// retired are the failure domains whose workers get no new runs.
 	retired map[string]bool
 	out     Output
@@ -106,6 +106,7 @@
 
 func (e *Executor) drop(w *worker) {
 	delete(e.workers, w.info.ID)
+	e.usual.remove(w.pace)
 	e.out.Dropped = append(e.out.Dropped, w.info.ID)
 	e.order = slices.DeleteFunc(e.order, func(o *worker) bool { return o == w })
 }
--- a/executor/place.go
+++ b/executor/place.go
@@ -9,9 +9,8 @@
 )
 
 // place returns the open worker for a task: one that it has not failed on, where there is a
-// choice, on which it will be in time; of those the slowest, which leaves fast ones to tasks that
-// would be late elsewhere; and of equally fast ones that with the least room that it fits into,
-// so that large tasks find room elsewhere.
+// choice; one on which it will be in time, or else the fastest; and of those the one with the
+// least room that it fits into, so that large tasks find room elsewhere.
 func (e *Executor) place(now time.Duration, t *task.Task) *worker {
 	var best *worker
 	var bestKey placeKey
@@ -28,28 +27,26 @@
 
 // placeKey ranks workers for a task; the least is the best.
 type placeKey struct {
-	failed, late bool
-	speed        float64
-	free         int64
+	failed bool
+	// late is how many times as long as usual the task takes where it would be late by that.
+	late float64
+	free int64
 }
 
 func (e *Executor) placeKey(now time.Duration, w *worker, t *task.Task) placeKey {
-	slowness := e.slowness(w)
-	end := now + time.Duration(slowness*float64(t.Expected))
-	k := placeKey{failed: slices.Contains(t.Avoid, w.info.ID), late: slowness > 1 && end > t.Due, speed: 1 / slowness, free: w.free().MilliCPU}
-	if k.late {
-		k.speed = slowness // the less late the better
+	k := placeKey{failed: slices.Contains(t.Avoid, w.info.ID), free: w.free().MilliCPU}
+	if slowness := e.slowness(w); slowness > 1 && now+time.Duration(slowness*float64(t.Expected)) > t.Due {
+		k.late = slowness
 	}
 	return k
 }
 
 func (k placeKey) compare(o placeKey) int {
-	rank := func(b bool) int {
-		if b {
-			return 1
+	if k.failed != o.failed {
+		if o.failed {
+			return -1
 		}
-		return 0
+		return 1
 	}
-	return cmp.Or(cmp.Compare(rank(k.failed), rank(o.failed)), cmp.Compare(rank(k.late), rank(o.late)),
-		cmp.Compare(k.speed, o.speed), cmp.Compare(k.free, o.free))
+	return cmp.Or(cmp.Compare(k.late, o.late), cmp.Compare(k.free, o.free))
 }
