--- a/executor/speed.go
+++ b/executor/speed.go
@@ -8,8 +8,8 @@
 const (
 	// speedRuns is how many runs a worker's speed is the mean of, older ones counting less.
 	speedRuns = 8
-	// knownAfter is how many runs tell a worker's speed. Declared run times are off by a
-	// factor of 1.5, so by then the mean is off by a fifth.
+	// knownAfter is how many runs tell a worker's speed: of declared times that are off by half
+	// the mean is off by a quarter by then.
 	knownAfter = 4
 	// alike is by how much, as a logarithm, a worker's run times may differ from what is usual
 	// before it counts as slower or faster: less is chance, or makes no job late.
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -1,13 +1,10 @@
 package load
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
 	"net/netip"
-	"os"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -30,15 +27,9 @@
 // accepted.
 func ReadFleetProfile(file string) (schema.FleetProfile, error) {
 	var p schema.FleetProfile
-	b, err := os.ReadFile(file)
-	if err != nil {
+	if err := readStrict(file, &p); err != nil {
 		return p, err
 	}
-	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&p); err != nil {
-		return p, errors.Wrapf(err, "%s is not a fleet's profile", file)
-	}
 	return p, errors.Wrapf(checkFleetProfile(p), "%s", file)
 }
 
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -48,16 +48,21 @@
 // ReadProfile reads a profile from a file.
 func ReadProfile(file string) (schema.LoadProfile, error) {
 	var p schema.LoadProfile
+	if err := readStrict(file, &p); err != nil {
+		return p, err
+	}
+	return p, errors.Wrapf(CheckProfile(p), "%s", file)
+}
+
+// readStrict reads a file of JSON in which every field has to be known.
+func readStrict(file string, into any) error {
 	b, err := os.ReadFile(file)
 	if err != nil {
-		return p, err
+		return err
 	}
 	dec := json.NewDecoder(bytes.NewReader(b))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&p); err != nil {
-		return p, errors.Wrapf(err, "%s is not a load profile", file)
-	}
-	return p, errors.Wrapf(CheckProfile(p), "%s", file)
+	return errors.Wrapf(dec.Decode(into), "%s is not a profile", file)
 }
 
 // SettingsProfile returns the profile of one class that the settings describe.
