--- a/internal/node/cellfeed_test.go
+++ b/internal/node/cellfeed_test.go
@@ -131,3 +131,20 @@
 	n.fleet.cells = n.fleet.cells.Fit(20)
 	assert.Equal(t, len(n.roots()), 0, "one cell")
 }
+
+// A reader begins its term, and takes what a root had read a moment before that. Its own peers
+// wait for it: it tells them at once, and not with the root's next read.
+func TestReaderTellsWhatWasReadBeforeItsTerm(t *testing.T) {
+	root, feed, _ := rootAndReader(t)
+	root.fleet.relay.readAt = root.clock.now() - 400*time.Millisecond
+	n := feed.n
+	n.fleet.relay.beganAt, n.fleet.relay.term = n.clock.now(), 1
+	time.Sleep(2 * time.Millisecond)
+	items, revision, err := feed.Read(t.Context())
+	assert.NilError(t, err)
+	follower{n, true}.Snapshot(items, revision)
+	var p schema.Pulse
+	n.fleet.relay.tell(n.clock.now(), &p)
+	assert.Equal(t, p.GetRegistryRevision(), int64(20))
+	assert.Assert(t, p.GetRegistryAgeMs() >= 400)
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -151,7 +151,7 @@
 		r.first = r.known == 0
 		r.known = max(r.known, c.Revision)
 		if !c.More {
-			r.readAt, r.knownAt = now-r.rootAge, now-r.rootAge
+			r.readAt, r.knownAt, r.tookAt = now-r.rootAge, now-r.rootAge, now
 			f.n.metrics.entriesRead(r.rootAge)
 		}
 		r.wake()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -20,9 +20,10 @@
 type relay struct {
 	// known is the store's revision up to which all changes are known here.
 	known int64
-	// readAt is when the store last answered a read of this daemon's own, knownAt when all was
-	// last known, by reading or by being told.
-	readAt, knownAt time.Duration
+	// readAt is when the store last answered what this daemon has read, itself or of a root,
+	// and tookAt when it was taken here; knownAt is when all was last known, by reading or by
+	// being told.
+	readAt, tookAt, knownAt time.Duration
 	pursuit         registry.Pursuit
 	// reader: this daemon reads for others; term counts how often it began to, at beganAt.
 	reader  bool
@@ -120,7 +121,7 @@
 
 // tell is what this daemon tells of its reading.
 func (r *relay) tell(now time.Duration, p *schema.Pulse) {
-	if r.reader && r.readAt > r.beganAt {
+	if r.reader && r.tookAt > r.beganAt {
 		p.RegistryRevision, p.RegistryTerm, p.RegistryAgeMs = r.known, r.term, (now - r.readAt).Milliseconds()
 	}
 }
@@ -238,7 +239,7 @@
 // held.
 func (n *Node) readerAsked(now time.Duration, p mesh.Peer, q *schema.RegistryRequest) {
 	r, since := &n.fleet.relay, q.GetRevision()
-	if !r.reader || r.readAt <= r.beganAt || since >= r.known {
+	if !r.reader || r.tookAt <= r.beganAt || since >= r.known {
 		return
 	}
 	out := &schema.Registry{Revision: r.known, Term: r.term, Since: since}
