--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -109,7 +109,7 @@
 
 func newNode(s platform.Settings, c schema.NodeSettings, log *logrus.Logger, q *logging.Queue) (*node.Node, error) {
 	n, err := node.New(node.Config{
-		Name: s.Name, Domain: s.Domain, Cores: s.Cores, FirstStart: s.FirstStart, Address: s.Control, Listen: c.PeerListen, Seeds: s.Seeds, FeedPort: s.Feed.Port(),
+		Name: s.Name, Domain: s.Domain, Cores: s.Cores, Mbps: s.LinkMbps, FirstStart: s.FirstStart, Address: s.Control, Listen: c.PeerListen, Seeds: s.Seeds, FeedPort: s.Feed.Port(),
 		Lease: min(c.Lease, s.Lease), MaxLease: s.Lease, StopWithin: s.StopWithin, EntryTTL: max(c.EntryTtl, s.MinStoreLease),
 		StopDelay: c.StopDelay, StopTimeout: c.StopTimeout, StoreWrites: s.StoreWrites, Retention: s.Retention,
 	}, platform.Connect(s), log)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,8 @@
 	EntryTTL time.Duration
 	// StopDelay is how long a stopping daemon serves on, until the balancer has noticed.
 	StopDelay time.Duration
+	// Mbps is what the machine's link carries, in megabits a second; 0: not known.
+	Mbps float64
 	// StoreWrites is how many writes a second the store takes from all daemons together;
 	// 0: no bound.
 	StoreWrites float64
@@ -106,6 +108,7 @@
 	n.executor = executor.New(executor.Config{Lease: c.Lease, MaxLease: c.MaxLease, StopWithin: c.StopWithin, TokenSource: tokenSource(n.self.Incarnation)})
 	n.coordinator = coordinator.New(n.self.Process)
 	n.fleet = newFleetView()
+	n.fleet.relay.copies.Mbps, n.documents.copies.Mbps = c.Mbps, c.Mbps
 	n.keeper = newKeeper(n.self, c.Retention)
 	var err error
 	if n.mesh, err = mesh.New(n.self, c.Listen, (*peerHandler)(n)); err != nil {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -24,7 +24,7 @@
 	// and tookAt when it was taken here; knownAt is when all was last known, by reading or by
 	// being told.
 	readAt, tookAt, knownAt time.Duration
-	pursuit         registry.Pursuit
+	pursuit                 registry.Pursuit
 	// reader: this daemon reads for others; term counts how often it began to, at beganAt.
 	reader  bool
 	term    uint32
--- a/registry/catchup.go
+++ b/registry/catchup.go
@@ -16,11 +16,13 @@
 	// askAgain is the pause before another peer is asked: a configuration of 1 MiB takes
 	// 340 ms on the slowest links, of 25 Mbit/s.
 	askAgain = 500 * time.Millisecond
-	// copiedAtOnce is how many bytes of copies one daemon hands out in each copyInterval. They
-	// keep a link of 25 Mbit/s busy for 170 ms, so that heartbeats behind them are not taken
-	// for silence; those that have a copy serve others, so all have one soon.
+	// copiedAtOnce is how many bytes of copies one daemon hands out at least in each
+	// copyInterval. They keep a link of 25 Mbit/s busy for 170 ms, so that heartbeats behind
+	// them are not taken for silence; those that have a copy serve others, so all have one soon.
 	copiedAtOnce = 512 << 10
 	copyInterval = 250 * time.Millisecond
+	// copyShare is the part of a link's time that copies may take.
+	copyShare = 0.66
 )
 
 // Source is a peer that may be asked for a newer configuration.
@@ -104,6 +106,8 @@
 
 // Copies bounds how many copies a daemon hands out. The zero value is ready for use.
 type Copies struct {
+	// Mbps is what the daemon's link carries, in megabits a second; 0: not known.
+	Mbps  float64
 	since time.Duration
 	// sent is what was handed out since then, in bytes.
 	sent int
@@ -115,9 +119,15 @@
 	if now-c.since >= copyInterval {
 		c.since, c.sent = now, 0
 	}
-	if c.sent > 0 && c.sent+size > copiedAtOnce {
+	if c.sent > 0 && c.sent+size > c.budget() {
 		return false
 	}
 	c.sent += size
 	return true
 }
+
+// budget is how many bytes may be handed out in an interval.
+func (c *Copies) budget() int {
+	const bytesPerMegabit = 1e6 / 8
+	return max(copiedAtOnce, int(c.Mbps*bytesPerMegabit*copyShare*copyInterval.Seconds()))
+}
--- a/registry/catchup_test.go
+++ b/registry/catchup_test.go
@@ -126,6 +126,23 @@
 	assert.Assert(t, f.sent[0] < 16, "the first daemon sent %d", f.sent[0])
 }
 
+// A whole cell asks its readers for all entries after a loss of power. One on a wide link serves
+// all of them at once; one on a narrow link keeps room for heartbeats.
+func TestCopiesByTheLink(t *testing.T) {
+	served := func(mbps float64) (n int) {
+		c := Copies{Mbps: mbps}
+		for range 30 {
+			if c.Take(time.Second, 128<<10) {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, served(1000), 30)
+	assert.Equal(t, served(25), 4)
+	assert.Equal(t, served(0), 4)
+}
+
 // A daemon that is asked freezes before it answers. Another one is asked.
 func TestSilentSourceIsLeft(t *testing.T) {
 	var c Catchup
