--- a/executor/executor.go
+++ b/executor/executor.go
@@ -65,7 +65,7 @@
 func (e *Executor) assign(now time.Duration, i WorkerInfo) {
 	w := e.workers[i.ID]
 	if w == nil {
-		w = &worker{info: i, born: i.Born, bornAt: now, wanted: true, retired: e.retired[i.Domain], runs: make(map[task.ID]*run), unsettled: make(map[uint64]heldEnd), nextPoll: now}
+		w = &worker{info: i, incarnation: i.Incarnation, incarnationSince: now, wanted: true, retired: e.retired[i.Domain], runs: make(map[task.ID]*run), unsettled: make(map[uint64]heldEnd), nextPoll: now}
 		e.workers[i.ID] = w
 		at, _ := slices.BinarySearchFunc(e.order, i.ID, func(w *worker, id string) int { return cmp.Compare(w.info.ID, id) })
 		e.order = slices.Insert(e.order, at, w)
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -13,14 +13,14 @@
 	// ID names the worker. A worker that has crashed may come back under another ID or under
 	// the same one.
 	ID string
-	// Born is when this life of the worker began, in ms since the Unix epoch by the worker's
+	// Incarnation is when this life of the worker began, in ms since the Unix epoch by the worker's
 	// own clock; 0: not told.
-	Born     int64
-	Address  string
-	Service  string
-	Domain   string
-	Capacity capacity.Vector
-	Labels   []string
+	Incarnation int64
+	Address     string
+	Service     string
+	Domain      string
+	Capacity    capacity.Vector
+	Labels      []string
 	// Draining workers get no new runs.
 	Draining bool
 }
@@ -121,10 +121,10 @@
 	Verdict Verdict
 	// Clock is the worker's clock in ms; 0 when it wasn't told.
 	Clock int64
-	// Born is when the life that answers began; 0 when it wasn't told.
-	Born    int64
-	Running []Listed
-	Ended   []Ended
+	// Incarnation is when the life that answers began; 0 when it wasn't told.
+	Incarnation int64
+	Running     []Listed
+	Ended       []Ended
 }
 
 // Owned is a report with the coordinator it is for.
--- a/executor/rebirth.go
+++ b/executor/rebirth.go
@@ -24,13 +24,13 @@
 // the new one; the later birth decides.
 func (e *Executor) announced(now time.Duration, w *worker, i WorkerInfo) bool {
 	switch {
-	case i.Born == 0 || i.Born == w.born:
-	case w.born == 0:
-		w.born, w.bornAt = i.Born, now
-	case i.Born < w.born:
+	case i.Incarnation == 0 || i.Incarnation == w.incarnation:
+	case w.incarnation == 0:
+		w.incarnation, w.incarnationSince = i.Incarnation, now
+	case i.Incarnation < w.incarnation:
 		return false
 	default:
-		e.reborn(now, w, i.Born, "entry")
+		e.reborn(now, w, i.Incarnation, "entry")
 	}
 	return true
 }
@@ -41,15 +41,15 @@
 func (e *Executor) attribute(now time.Duration, w *worker, c Call, a Answer) Answer {
 	none := Answer{Verdict: Unknown}
 	switch {
-	case a.Born != 0 && w.born == 0 && c.sent >= w.bornAt:
-		w.born, w.bornAt = a.Born, now
-	case a.Born != 0 && a.Born != w.born:
-		if c.sent < w.bornAt {
+	case a.Incarnation != 0 && w.incarnation == 0 && c.sent >= w.incarnationSince:
+		w.incarnation, w.incarnationSince = a.Incarnation, now
+	case a.Incarnation != 0 && a.Incarnation != w.incarnation:
+		if c.sent < w.incarnationSince {
 			return none
 		}
-		e.reborn(now, w, a.Born, "answer")
+		e.reborn(now, w, a.Incarnation, "answer")
 		return none
-	case c.clock > 0 && a.Clock > 0 && a.Clock < c.clock && c.sent >= w.bornAt:
+	case c.clock > 0 && a.Clock > 0 && a.Clock < c.clock && c.sent >= w.incarnationSince:
 		// A clock never goes back, so another life answers, though it doesn't say which.
 		e.reborn(now, w, 0, "clock")
 		return none
@@ -60,9 +60,9 @@
 // reborn acts on the news that the worker has crashed and is back under its ID. What the old
 // life has confirmed is over. Starts without an answer may still reach the new one; they are
 // decided when it has been taken over.
-func (e *Executor) reborn(now time.Duration, w *worker, born int64, source string) {
-	e.event(EventReborn, w, nil, fmt.Sprintf("source=%s born=%d before=%d runs=%d", source, born, w.born, len(w.runs)))
-	w.born, w.bornAt = born, now
+func (e *Executor) reborn(now time.Duration, w *worker, incarnation int64, source string) {
+	e.event(EventReborn, w, nil, fmt.Sprintf("source=%s incarnation=%d before=%d runs=%d", source, incarnation, w.incarnation, len(w.runs)))
+	w.incarnation, w.incarnationSince = incarnation, now
 	for _, r := range w.sorted() {
 		if r.since > 0 {
 			e.end(now, w, r, task.Gone, ReasonReborn)
@@ -133,7 +133,7 @@
 // lapseReborn gives up starts without an answer at a worker that was reborn and can't be taken
 // over: the leases that they were given have passed.
 func (e *Executor) lapseReborn(now time.Duration, w *worker) {
-	if w.reborn && len(w.runs) > 0 && now >= max(w.lapsedBy(), w.bornAt+e.config.MaxLease) {
+	if w.reborn && len(w.runs) > 0 && now >= max(w.lapsedBy(), w.incarnationSince+e.config.MaxLease) {
 		e.lapsed(now, w)
 	}
 }
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -81,9 +81,9 @@
 	// wanted: the worker is assigned to this daemon.
 	wanted bool
 	token  uint64
-	// born is the life of the worker that is dealt with, known since bornAt; 0: not told.
-	born   int64
-	bornAt time.Duration
+	// incarnation is the one of the worker that is dealt with, known since incarnationSince; 0: not told.
+	incarnation      int64
+	incarnationSince time.Duration
 	// reborn: it has not been taken over since it came back under its ID.
 	reborn bool
 	clock  clock
--- a/internal/node/entries.go
+++ b/internal/node/entries.go
@@ -144,13 +144,13 @@
 	if known.info.Draining != info.Draining {
 		n.log.WithFields(logrus.Fields{"event": "worker_draining", "worker": i.ID, "draining": info.Draining}).Info()
 	}
-	if known.info.Born != info.Born {
-		n.log.WithFields(logrus.Fields{"event": "worker_reborn", "worker": i.ID, "born": info.Born, "before": known.info.Born}).Info()
+	if known.info.Incarnation != info.Incarnation {
+		n.log.WithFields(logrus.Fields{"event": "worker_reborn", "worker": i.ID, "incarnation": info.Incarnation, "before": known.info.Incarnation}).Info()
 	}
 	if known.info.Capacity != info.Capacity {
 		n.log.WithFields(logrus.Fields{"event": "worker_resized", "worker": i.ID, "milli_cpu": info.Capacity.MilliCPU, "before": known.info.Capacity.MilliCPU}).Info()
 	}
-	changed := known.info.Draining != info.Draining || known.info.Capacity != info.Capacity || known.info.Born != info.Born || known.missing > 0
+	changed := known.info.Draining != info.Draining || known.info.Capacity != info.Capacity || known.info.Incarnation != info.Incarnation || known.missing > 0
 	if changed || known.info.Address != info.Address || known.info.Service != info.Service || known.info.Domain != info.Domain ||
 		!slices.Equal(known.info.Labels, info.Labels) {
 		known.changed = i.Revision
