--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -27,7 +27,7 @@
 // accepted.
 func ReadFleetProfile(file string) (schema.FleetProfile, error) {
 	var p schema.FleetProfile
-	if err := readStrict(file, &p); err != nil {
+	if err := readStrict(file, "a fleet's profile", &p); err != nil {
 		return p, err
 	}
 	return p, errors.Wrapf(checkFleetProfile(p), "%s", file)
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -48,21 +48,22 @@
 // ReadProfile reads a profile from a file.
 func ReadProfile(file string) (schema.LoadProfile, error) {
 	var p schema.LoadProfile
-	if err := readStrict(file, &p); err != nil {
+	if err := readStrict(file, "a load profile", &p); err != nil {
 		return p, err
 	}
 	return p, errors.Wrapf(CheckProfile(p), "%s", file)
 }
 
-// readStrict reads a file of JSON in which every field has to be known.
-func readStrict(file string, into any) error {
+// readStrict reads a file of JSON in which every field has to be known; what it is to hold is
+// named in errors.
+func readStrict(file, what string, into any) error {
 	b, err := os.ReadFile(file)
 	if err != nil {
 		return err
 	}
 	dec := json.NewDecoder(bytes.NewReader(b))
 	dec.DisallowUnknownFields()
-	return errors.Wrapf(dec.Decode(into), "%s is not a profile", file)
+	return errors.Wrapf(dec.Decode(into), "%s is not %s", file, what)
 }
 
 // SettingsProfile returns the profile of one class that the settings describe.
