--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -12,6 +12,8 @@
 type Job struct {
 	ID      string
 	Service string
+	// Queue names the queue that the job came by; empty where queues aren't told apart.
+	Queue   string
 	Payload string
 	Steps   []Step
 	// Attempts is how often a task may fail before the job has failed.
@@ -162,7 +164,7 @@
 		n.left[s] = step.Count
 		for i := range step.Count {
 			n.tasks = append(n.tasks, &jobTask{Task: task.Task{
-				ID: task.ID{Job: j.ID, Step: uint32(s), Index: uint32(i)}, Service: j.Service, Label: step.Label,
+				ID: task.ID{Job: j.ID, Step: uint32(s), Index: uint32(i)}, Service: j.Service, Queue: j.Queue, Label: step.Label,
 				Payload: j.Payload, Demand: step.Demand, Priority: j.Priority, Expected: step.Expected,
 				Due: n.due, StartBy: j.Deadline - step.Expected/2, Kept: j.Kept, PerWorker: step.PerWorker,
 			}})
--- a/internal/node/convert.go
+++ b/internal/node/convert.go
@@ -44,7 +44,7 @@
 			MilliCpu: t.Demand.MilliCPU, MemoryMb: t.Demand.MemoryMB, Gpus: t.Demand.GPUs,
 			Priority: int32(t.Priority), ExpectedMs: t.Expected.Milliseconds(),
 			StartByMs: (t.StartBy - now).Milliseconds(), DueMs: (t.Due - now).Milliseconds(), Avoid: t.Avoid,
-			Kept: t.Kept, PerWorker: uint32(t.PerWorker), OnlyNow: t.OnlyNow,
+			Kept: t.Kept, PerWorker: uint32(t.PerWorker), OnlyNow: t.OnlyNow, Queue: t.Queue,
 		}
 	}
 	return out
@@ -58,7 +58,7 @@
 			Demand:   capacity.Vector{MilliCPU: t.GetMilliCpu(), MemoryMB: t.GetMemoryMb(), GPUs: t.GetGpus()},
 			Priority: int(t.GetPriority()), Expected: ms(t.GetExpectedMs()),
 			StartBy: now + ms(t.GetStartByMs()), Due: now + ms(t.GetDueMs()), Avoid: t.GetAvoid(),
-			Kept: t.GetKept(), PerWorker: int(t.GetPerWorker()), OnlyNow: t.GetOnlyNow(),
+			Kept: t.GetKept(), PerWorker: int(t.GetPerWorker()), OnlyNow: t.GetOnlyNow(), Queue: t.GetQueue(),
 		}
 	}
 	return out
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -138,7 +138,7 @@
 		return refused(coordinator.ReasonNoStore, time.Second)
 	}
 	j := coordinator.Job{
-		ID: r.ID, Service: r.Route.Service, Payload: r.Payload, Steps: r.Steps, Attempts: r.Route.Attempts,
+		ID: r.ID, Service: r.Route.Service, Queue: r.Route.Name, Payload: r.Payload, Steps: r.Steps, Attempts: r.Route.Attempts,
 		Priority: r.Route.Priority, Stretch: r.Route.Stretch, Target: r.Route.Target, Kept: true,
 	}
 	if reason, after := n.coordinator.Refusal(now, j); reason != "" {
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -101,7 +101,7 @@
 		n.waiters[r.ID] = w
 		n.logArrival(w, r)
 		n.coordinator.Submit(now, coordinator.Job{
-			ID: r.ID, Service: r.Route.Service, Payload: r.Payload, Steps: r.Steps, Attempts: r.Route.Attempts,
+			ID: r.ID, Service: r.Route.Service, Queue: r.Route.Name, Payload: r.Payload, Steps: r.Steps, Attempts: r.Route.Attempts,
 			Priority: r.Route.Priority, Stretch: r.Route.Stretch, Target: r.Route.Target, Deadline: now + r.Patience,
 		})
 	})
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -79,7 +79,7 @@
 		return Record{}, errors.Wrap(err, "decoding a kept job")
 	}
 	r := Record{Route: k.GetRoute(), Owner: k.GetOwner(), Job: coordinator.Job{
-		ID: k.GetId(), Service: k.GetService(), Payload: k.GetPayload(), Attempts: int(k.GetAttempts()),
+		ID: k.GetId(), Service: k.GetService(), Queue: k.GetRoute(), Payload: k.GetPayload(), Attempts: int(k.GetAttempts()),
 		Priority: int(k.GetPriority()), Stretch: k.GetStretch(), Target: time.Duration(k.GetTargetMs()) * time.Millisecond, Kept: true,
 	}}
 	tasks := 0
--- a/task/task.go
+++ b/task/task.go
@@ -30,6 +30,8 @@
 	Run uint32
 	// Service names the pool of workers that may run the task.
 	Service string
+	// Queue names the queue that the job came by; empty where queues aren't told apart.
+	Queue string
 	// Label is one that the worker must have; empty for any worker.
 	Label string
 	// Payload is passed to the worker as it is.
--- a/test/policy/load_test.go
+++ b/test/policy/load_test.go
@@ -31,6 +31,7 @@
 // oneQueue is the same fleet with one daemon, which knows all: what it can't serve on time
 // no division of the fleet could.
 func (l load) oneQueue() load {
+	l.places, l.perPlace = l.domains, l.daemonsEach
 	l.workersEach, l.domains, l.daemonsEach = l.workersEach*l.domains, 1, 1
 	return l
 }
