--- a/config/config_test.go
+++ b/config/config_test.go
@@ -47,6 +47,7 @@
 			{Field: "kinds.quote.domains", After: "a, b"}, {Field: "kinds.quote.needs.cpus", After: "4"}, {Field: "kinds.quote.urgency", After: "high"},
 		}},
 		{schema.Intent{Action: string(SetTeam), Target: "sales", Settings: []string{"starts_per_second=50"}}, []schema.Change{{Field: "teams.sales.starts_per_second", Before: "100", After: "50"}}},
+		{schema.Intent{Action: string(HoldKind), Target: "quote"}, []schema.Change{{Field: "held_kinds", After: "quote"}}},
 		{schema.Intent{Action: string(RetireDomain), Target: "a"}, []schema.Change{{Field: "retired_domains", After: "a"}}},
 	}
 	for _, test := range tests {
@@ -75,6 +76,7 @@
 		{schema.Intent{Action: string(SetKind), Target: "booking", Settings: []string{"one_call=true"}}, "needs idempotent"},
 		{schema.Intent{Action: string(SetTeam), Target: "other", Settings: []string{"token_sha256=" + HashToken("t")}}, "same token"},
 		{schema.Intent{Action: string(RemoveTeam), Target: "none"}, "no team"},
+		{schema.Intent{Action: string(ResumeKind), Target: "quote"}, "no held kind"},
 		{schema.Intent{Action: string(Init), Document: "{}"}, "a document already"},
 		{schema.Intent{Action: string(SetKind), Target: strings.Repeat("k", 300), Settings: []string{"path=/x", "deadline_ms=5"}}, "up to 200 bytes"},
 	}
--- a/config/effects.go
+++ b/config/effects.go
@@ -154,9 +154,16 @@
 	unlisted("worker", before.GetDrainedWorkers(), after.GetDrainedWorkers(), workers)
 	unlisted("rack", before.GetDrainedRacks(), after.GetDrainedRacks(), racks)
 	unlisted("failure domain", before.GetRetiredDomains(), after.GetRetiredDomains(), domains)
+	kinds := make(map[string]bool)
 	for name, k := range after.GetKinds() {
+		kinds[name] = true
 		unlisted("kind "+name+": failure domain", before.GetKinds()[name].GetDomains(), k.GetDomains(), domains)
 	}
+	for _, name := range after.GetHeldKinds() {
+		if !kinds[name] {
+			w = append(w, fmt.Sprintf("held kind %s is not in the configuration", name))
+		}
+	}
 	if len(vms) == 0 {
 		w = append(w, "the asked entry has no VM list yet; workers and slots are unknown")
 	}
--- a/config/index.go
+++ b/config/index.go
@@ -46,6 +46,9 @@
 // Kind returns a kind by name, nil when there is none.
 func (x *Index) Kind(name string) *schema.Kind { return x.doc.GetKinds()[name] }
 
+// Held tells whether new jobs of a kind are refused for now.
+func (x *Index) Held(kind string) bool { return slices.Contains(x.doc.GetHeldKinds(), kind) }
+
 // Drained tells whether a worker gets no new work.
 func (x *Index) Drained(vm *schema.Vm) bool {
 	return slices.Contains(x.doc.GetDrainedWorkers(), vm.GetAddress()) ||
--- a/config/intent.go
+++ b/config/intent.go
@@ -36,6 +36,9 @@
 	// SetKind makes or changes a kind, RemoveKind removes it.
 	SetKind    Action = "set-kind"
 	RemoveKind Action = "remove-kind"
+	// HoldKind refuses new jobs of a kind; ResumeKind takes it back.
+	HoldKind   Action = "hold-kind"
+	ResumeKind Action = "resume-kind"
 	// SetTeam makes or changes a team, RemoveTeam removes it.
 	SetTeam    Action = "set-team"
 	RemoveTeam Action = "remove-team"
@@ -106,6 +109,10 @@
 		return setIn(&doc.Kinds, i.Target, &schema.Kind{}, i.Settings)
 	case RemoveKind:
 		return removeFrom(doc.Kinds, "kind", i.Target)
+	case HoldKind:
+		return add(&doc.HeldKinds, "kind", i.Target)
+	case ResumeKind:
+		return remove(&doc.HeldKinds, "held kind", i.Target)
 	case SetTeam:
 		return setIn(&doc.Teams, i.Target, &schema.Team{}, i.Settings)
 	case RemoveTeam:
--- a/config/validate.go
+++ b/config/validate.go
@@ -108,7 +108,7 @@
 	for name := range c.GetTeams() {
 		check("team", name)
 	}
-	for _, list := range [][]string{c.GetDrainedWorkers(), c.GetDrainedRacks(), c.GetRetiredDomains()} {
+	for _, list := range [][]string{c.GetDrainedWorkers(), c.GetDrainedRacks(), c.GetRetiredDomains(), c.GetHeldKinds()} {
 		for _, name := range list {
 			check("target", name)
 		}
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -25,6 +25,8 @@
 	Undrain   undrainCommands `cmd:"" help:"Resume work on a drained worker or rack."`
 	Retire    domainIntent    `cmd:"" help:"Stop new work in a failure domain."`
 	Reinstate reinstateIntent `cmd:"" help:"Take back a retired failure domain."`
+	Hold      holdIntent      `cmd:"" help:"Refuse new jobs of a kind."`
+	Resume    resumeIntent    `cmd:"" help:"Accept new jobs of a held kind again."`
 	Limits    limitsIntent    `cmd:"" help:"Change limits of every request."`
 	Kind      kindCommands    `cmd:"" help:"Change or remove a kind."`
 	Team      teamCommands    `cmd:"" help:"Change or remove a team."`
@@ -85,6 +87,8 @@
 		settings
 	}
 	removeKindIntent struct{ named }
+	holdIntent       struct{ named }
+	resumeIntent     struct{ named }
 	setTeamIntent    struct {
 		named
 		settings
@@ -141,6 +145,16 @@
 	return p.send(s, schema.Intent{Action: string(config.RemoveKind), Target: i.Name})
 }
 
+// Run plans holding a kind.
+func (i *holdIntent) Run(p *planCommand, s *streams) error {
+	return p.send(s, schema.Intent{Action: string(config.HoldKind), Target: i.Name})
+}
+
+// Run plans resuming a kind.
+func (i *resumeIntent) Run(p *planCommand, s *streams) error {
+	return p.send(s, schema.Intent{Action: string(config.ResumeKind), Target: i.Name})
+}
+
 // Run plans a change of a team.
 func (i *setTeamIntent) Run(p *planCommand, s *streams) error {
 	return p.send(s, schema.Intent{Action: string(config.SetTeam), Target: i.Name, Settings: i.Settings})
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -112,8 +112,11 @@
 	if c.method != http.MethodPut {
 		return nil
 	}
-	_, kind, _ := checkJob(r.submissions.state.config(), c.body)
-	return kind
+	j, err := decodeJob(c.body)
+	if err != nil {
+		return nil
+	}
+	return r.submissions.state.config().Kind(j.Kind)
 }
 
 func ownerGone() *verdict.Failure {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +17,10 @@
 // shownText bounds how much of a caller's text is repeated to it.
 const shownText = 64
 
+// heldRetryAfter is when callers of a held kind are told to come back: an operator decides
+// when it is resumed, and sooner calls would be refused too.
+const heldRetryAfter = 5 * time.Second
+
 // decodeJob reads a body that holds one job and nothing else.
 func decodeJob(body []byte) (*schema.Job, error) {
 	j := new(schema.Job)
@@ -65,7 +70,7 @@
 }
 
 // checkJob decodes a job and checks it against the configuration. All failures are
-// NotRun and the request's own fault.
+// NotRun, and the request's own fault but for a held kind.
 func checkJob(x *config.Index, body []byte) (*schema.Job, *schema.Kind, *verdict.Failure) {
 	bad := func(r verdict.Reason, format string, args ...any) (*schema.Job, *schema.Kind, *verdict.Failure) {
 		return nil, nil, verdict.New(verdict.NotRun, r, format, args...)
@@ -79,6 +84,9 @@
 	switch {
 	case kind == nil:
 		return bad(verdict.UnknownKind, "kind %q is not in the configuration; name one that is", shorten(j.Kind))
+	case x.Held(j.Kind):
+		held := verdict.New(verdict.NotRun, verdict.KindHeld, "an operator holds kind %q; come back later", shorten(j.Kind))
+		return nil, nil, held.After(heldRetryAfter)
 	case len(j.Tasks) == 0:
 		return bad(verdict.BadRequest, "the job has no tasks; send at least one")
 	case len(j.Tasks) > int(limits.GetMaxTasks()):
--- /dev/null
+++ b/test/operate/hold_test.go
@@ -0,0 +1,62 @@
+package operate
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/client"
+	"github.com/lavendercleat/lavendercleat/config"
+	"github.com/lavendercleat/lavendercleat/schema"
+	"github.com/lavendercleat/lavendercleat/test/cluster"
+	"github.com/lavendercleat/lavendercleat/verdict"
+)
+
+// A kind is held while callers send jobs of it through all entries: what was accepted ends
+// whole, what comes later is refused as not run with a time to come back, and a copy of an
+// accepted job gets that job's answer. Other kinds are served on; resumed, it is served again.
+func TestHeldKindIsRefusedAndWhatRunsIsFinished(t *testing.T) {
+	c := cluster.Start(t, cluster.Options{Domains: 1, Entries: 2, Workers: 2})
+	operator := cluster.AsOperator(t, c.Entries[0])
+	accepted := cluster.Job(cluster.Quote, "accepted", 2)
+	caller := c.Entries[0].Client(cluster.Token)
+	ids, err := caller.Reserve(t.Context(), 1)
+	assert.NilError(t, err)
+	first, err := caller.Put(t.Context(), ids[0], accepted)
+	assert.NilError(t, err)
+	cluster.CheckWhole(t, accepted, first)
+
+	var refused atomic.Int64
+	stop := load(t, c.Entries, 6, 2, func(j schema.Job, r client.Reply) {
+		if r.Outcome == client.Complete {
+			cluster.CheckWhole(t, j, r)
+			return
+		}
+		assert.Check(t, r.Reason == string(verdict.KindHeld) && r.Verdict == verdict.NotRun.String() && r.Status == http.StatusServiceUnavailable && r.RetryAfter > 0, "%+v", r)
+		refused.Add(1)
+	})
+	operator.Change(schema.Intent{Action: string(config.HoldKind), Target: cluster.Quote})
+	for _, e := range c.Entries {
+		cluster.Eventually(t, leaveLimit, "the entry refuses the kind", func() bool {
+			r, err := e.Client(cluster.Token).Do(t.Context(), cluster.Job(cluster.Quote, "held", 1))
+			return err == nil && r.Reason == string(verdict.KindHeld)
+		})
+		booking := cluster.Job(cluster.Booking, "another kind", 1)
+		r, err := e.Client(cluster.Token).Submit(t.Context(), booking)
+		assert.NilError(t, err)
+		cluster.CheckWhole(t, booking, r)
+	}
+	again, err := c.Entries[1].Client(cluster.Token).Put(t.Context(), ids[0], accepted)
+	assert.NilError(t, err)
+	cluster.CheckWhole(t, accepted, again)
+	cluster.Eventually(t, leaveLimit, "callers are refused", func() bool { return refused.Load() > 0 })
+	stop()
+
+	operator.Change(schema.Intent{Action: string(config.ResumeKind), Target: cluster.Quote})
+	cluster.Eventually(t, leaveLimit, "the kind is served again", func() bool {
+		r, err := caller.Do(t.Context(), cluster.Job(cluster.Quote, "resumed", 1))
+		return err == nil && r.Outcome == client.Complete
+	})
+}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -30,6 +30,7 @@
 	Stopping      Reason = "stopping"
 	NotReady      Reason = "not_ready"
 	DomainRetired Reason = "domain_retired"
+	KindHeld      Reason = "kind_held"
 )
 
 // Reasons why a request to the owner of an identifier failed.
