--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -25,12 +25,14 @@
 			usable = append(usable, h.Process)
 		}
 	}
+	wanted := t.Task
+	wanted.Payload = "" // comes with the offer
 	first := int(drawFor(&t.Task) % (1 << 30))
 	for i := range min(len(usable), reservations-len(t.reserved)) {
 		p := usable[(first+i)%len(usable)]
 		t.reserved = append(t.reserved, p)
 		m := c.message(p, func(m *Message) bool { return m.Reserve != nil })
-		m.Reserve = append(m.Reserve, t.Task)
+		m.Reserve = append(m.Reserve, wanted)
 	}
 }
 
