--- a/executor/executor.go
+++ b/executor/executor.go
@@ -377,5 +377,5 @@
 	for _, w := range e.order {
 		runningTasks += len(w.runs)
 	}
-	return runningTasks, len(e.queue) - e.reservations()
+	return runningTasks, len(e.queue) - e.Reservations()
 }
--- a/executor/reserve.go
+++ b/executor/reserve.go
@@ -36,7 +36,7 @@
 // moment, and its coordinator is told by a report of NotRun, with ReasonRoom; nothing is started
 // before an Offer.
 func (e *Executor) Reserve(now time.Duration, owner member.Process, tasks []task.Task) {
-	left := maxReservations - e.reservations()
+	left := maxReservations - e.Reservations()
 	for i := range min(len(tasks), left) {
 		e.unreserve(owner, tasks[i].ID)
 		e.enqueue(&queued{task: &tasks[i], owner: owner, since: now, reserved: true})
@@ -54,7 +54,8 @@
 	e.step(now)
 }
 
-func (e *Executor) reservations() (n int) {
+// Reservations returns the number of tasks that wait elsewhere and have a place in the queue here.
+func (e *Executor) Reservations() (n int) {
 	for _, q := range e.queue {
 		if q.reserved {
 			n++
