--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -14,6 +14,9 @@
 // of many. Each costs a place in a message there, and another to drop it.
 const reservations = 2
 
+// EventMoves is the name of the event of a task that is asked back for reserved room.
+const EventMoves = "task_moves"
+
 // reserve asks other executors to tell of room for a task that waits at one.
 func (c *Coordinator) reserve(now time.Duration, t *jobTask) {
 	if t.Kept {
@@ -80,7 +83,7 @@
 		return
 	}
 	t.reclaiming, t.movesTo = true, from
-	c.event("task_moves", t, fmt.Sprintf("from=%s to=%s", t.holder.Address, from.Address))
+	c.event(EventMoves, t, fmt.Sprintf("from=%s to=%s", t.holder.Address, from.Address))
 	c.reclaim(t)
 }
 
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -47,7 +47,8 @@
 	m.count("worker_orders", "order", callNames[k], "answer", v.String())
 }
 
-func (m *metricSet) reported(o task.Outcome) { m.count("task_reports", "outcome", o.String()) }
+func (m *metricSet) reported(o task.Outcome)  { m.count("task_reports", "outcome", o.String()) }
+func (m *metricSet) reservation(event string) { m.count("reservations", "event", event) }
 func (m *metricSet) ended(status, reason string) {
 	m.count("leased_jobs", "status", status, "reason", reason)
 }
@@ -81,8 +82,11 @@
 func (n *Node) logEvents(events []executor.Event) {
 	for _, e := range events {
 		fields := logrus.Fields{"event": e.Name}
-		if e.Name == executor.EventStarted {
+		switch e.Name {
+		case executor.EventStarted:
 			n.metrics.began(e.Age)
+		case executor.EventRoomHeld, coordinator.EventMoves:
+			n.metrics.reservation(e.Name)
 		}
 		if e.Age > 0 {
 			fields["age_ms"] = e.Age.Milliseconds()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -321,7 +321,7 @@
 func (n *Node) toCoordinators(now time.Duration, reports []executor.Owned) {
 	remote := make(map[member.Process]*schema.Reports)
 	for _, r := range reports {
-		if r.Outcome != 0 {
+		if r.Outcome != 0 && r.Reason != executor.ReasonRoom {
 			n.metrics.reported(r.Outcome)
 		}
 		if r.Owner == n.self.Process {
