--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"github.com/lavendercleat/lavendercleat/internal/httpstop"
 	"github.com/lavendercleat/lavendercleat/internal/logging"
 	"github.com/lavendercleat/lavendercleat/internal/node"
 	"github.com/lavendercleat/lavendercleat/platform"
@@ -122,7 +123,7 @@
 
 // nodeServers are the HTTP servers of a daemon.
 type nodeServers struct {
-	servers   []*http.Server
+	servers   []*httpstop.Server
 	addresses []netip.AddrPort
 }
 
@@ -137,11 +138,11 @@
 		}
 		platform.NewFront(n).ServeHTTP(c.Writer, c.Request)
 	})
-	server := func(h http.Handler) *http.Server {
-		return &http.Server{Handler: h, ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
+	server := func(h http.Handler) *httpstop.Server {
+		return httpstop.New(&http.Server{Handler: h, ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout})
 	}
 	servers := &nodeServers{
-		servers:   []*http.Server{server(front), server(platform.NewReady(n.Ready))},
+		servers:   []*httpstop.Server{server(front), server(platform.NewReady(n.Ready))},
 		addresses: []netip.AddrPort{s.Front, s.Ready},
 	}
 	if s.Feed.IsValid() {
@@ -182,7 +183,7 @@
 func (s *nodeServers) stop(ctx context.Context) error {
 	var first error
 	for _, server := range s.servers {
-		if err := server.Shutdown(ctx); err != nil && first == nil {
+		if err := server.Stop(ctx); err != nil && first == nil {
 			first = err
 		}
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lavendercleat/lavendercleat/internal/httpstop"
 	"github.com/lavendercleat/lavendercleat/internal/peer"
 )
 
@@ -42,9 +43,9 @@
 	cred   peer.Credentials
 	limits httpLimits
 	peer   *peer.Server
-	http   []*http.Server
+	http   []*httpstop.Server
 	// callerHTTP serves the caller interface.
-	callerHTTP *http.Server
+	callerHTTP *httpstop.Server
 	caller     netip.AddrPort
 	operator   netip.AddrPort
 	metrics    netip.AddrPort
@@ -96,7 +97,7 @@
 		return netip.AddrPort{}, err
 	}
 	limits := e.servers.limits
-	s := &http.Server{
+	s := httpstop.New(&http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: limits.readHeader,
 		ReadTimeout:       limits.read,
@@ -104,7 +105,7 @@
 		IdleTimeout:       limits.idle,
 		MaxHeaderBytes:    limits.headerBytes,
 		BaseContext:       func(net.Listener) context.Context { return e.requests },
-	}
+	})
 	e.servers.http = append(e.servers.http, s)
 	go s.Serve(l)
 	return l.Addr().(*net.TCPAddr).AddrPort(), nil
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -116,7 +116,7 @@
 		defer close(flushed)
 		// net/http also waits for connections that never carried a request, so its end
 		// alone would hold up the stop for seconds.
-		_ = e.servers.callerHTTP.Shutdown(ctx) // it fails only by the context's end
+		_ = e.servers.callerHTTP.Stop(ctx) // it fails only by the context's end
 	}()
 	if !pollUntil(ctx, func() bool { return e.inFlight.Load() == 0 }) {
 		// What still waits is owned by other entries; its callers are told to ask again.
--- /dev/null
+++ b/internal/httpstop/httpstop_test.go
@@ -0,0 +1,120 @@
+package httpstop
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const request = "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n{}"
+
+// heldListener holds each connection's reads from its second request on until release is closed:
+// a server whose processor is busy elsewhere while bytes come.
+type heldListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{TCPConn: c.(*net.TCPConn), release: l.release}, nil
+}
+
+type heldConn struct {
+	*net.TCPConn
+	release chan struct{}
+	read    bool
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	if c.read && len(p) > 1 { // reads of one byte only watch for the caller's end
+		<-c.release
+	}
+	n, err := c.TCPConn.Read(p)
+	c.read = c.read || n > 1
+	return n, err
+}
+
+type stopped struct {
+	client  net.Conn
+	replies *bufio.Reader
+	release chan struct{}
+	idle    chan struct{}
+	server  *Server
+}
+
+// start serves one caller, whose first request has been answered on a connection that stays.
+func start(t *testing.T) *stopped {
+	s := &stopped{release: make(chan struct{}), idle: make(chan struct{}, 1)}
+	s.server = New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "done")
+	})})
+	follow := s.server.http.ConnState
+	s.server.http.ConnState = func(c net.Conn, state http.ConnState) {
+		follow(c, state)
+		if state == http.StateIdle {
+			s.idle <- struct{}{}
+		}
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = s.server.Serve(heldListener{l, s.release}) }()
+	s.client, err = net.Dial("tcp4", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.client.Close() })
+	s.replies = bufio.NewReader(s.client)
+	s.call(t)
+	assert.NilError(t, s.answer())
+	<-s.idle
+	return s
+}
+
+func (s *stopped) call(t *testing.T) {
+	_, err := io.WriteString(s.client, request)
+	assert.NilError(t, err)
+}
+
+func (s *stopped) answer() error {
+	r, err := http.ReadResponse(s.replies, nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return err
+}
+
+// A request has come on an open connection, and the processor is too busy to read it before the
+// server stops: its caller was cut off without an answer, and sent it again seconds later.
+func TestRequestUnreadAtTheStop(t *testing.T) {
+	s := start(t)
+	s.call(t)
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		ended <- s.server.Stop(ctx)
+	}()
+	time.AfterFunc(20*look, func() { close(s.release) })
+	assert.NilError(t, s.answer(), "no answer")
+	assert.NilError(t, <-ended)
+}
+
+// A connection that nothing comes on doesn't hold the stop up.
+func TestIdleConnectionAtTheStop(t *testing.T) {
+	s := start(t)
+	close(s.release)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, s.server.Stop(ctx))
+	assert.ErrorIs(t, s.answer(), io.ErrUnexpectedEOF)
+}
