--- a/internal/clock/pause.go
+++ b/internal/clock/pause.go
@@ -11,8 +11,14 @@
 	// a silent entry's slots.
 	PauseLimit = time.Second
 	// drainTime is the time after a pause within which requests that waited unread in
-	// the sockets are read.
+	// the sockets are read, by a process that gets the processor when it needs it.
 	drainTime = time.Second
+	// drainSlack is how late a beat may be by which the process still counts as getting
+	// the processor: ten times the time between beats.
+	drainSlack = 100 * time.Millisecond
+	// maxDrain bounds the drain of a process that never gets the processor in time: until
+	// its end, what has just come counts as old, and most of it is refused.
+	maxDrain = 5 * time.Second
 )
 
 // Pauses notices pauses of the process, so that requests which waited unread meanwhile
@@ -22,8 +28,9 @@
 	mu sync.Mutex
 	// beat is the time of the latest beat.
 	beat time.Duration
-	// paused and resumed are the ends of the latest pause.
-	paused, resumed time.Duration
+	// paused is when the latest pause began, woken when it ended. drained is by when what
+	// waited meanwhile has been read.
+	paused, woken, drained time.Duration
 }
 
 // Beat tells that the process runs; call it many times within a second.
@@ -39,15 +46,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.step(now) // on waking, a request may be read before the next beat
-	if p.resumed > 0 && now < p.resumed+drainTime {
+	if now < p.drained {
 		return p.paused
 	}
 	return now
 }
 
 func (p *Pauses) step(now time.Duration) {
-	if now-p.beat > PauseLimit {
-		p.paused, p.resumed = p.beat, now
+	late, draining := now-p.beat, p.beat < p.drained
+	switch {
+	case late > PauseLimit:
+		// A pause that begins before the sockets are read doesn't end the one before: what
+		// waited since then would be started after its time.
+		if !draining {
+			p.paused = p.beat
+		}
+		p.woken, p.drained = now, now+drainTime
+	case late > drainSlack && draining:
+		// Beside other processes a beat comes late, and so does the reading of requests.
+		p.drained = min(now+drainTime, max(p.drained, p.woken+maxDrain))
 	}
 	p.beat = max(p.beat, now)
 }
