--- a/capacity/vector.go
+++ b/capacity/vector.go
@@ -26,6 +26,11 @@
 	return Vector{v.MilliCPU - w.MilliCPU, v.MemoryMB - w.MemoryMB, v.GPUs - w.GPUs}
 }
 
+// Max returns the larger of both in each dimension.
+func (v Vector) Max(w Vector) Vector {
+	return Vector{max(v.MilliCPU, w.MilliCPU), max(v.MemoryMB, w.MemoryMB), max(v.GPUs, w.GPUs)}
+}
+
 // Copies returns how often v fits into free; most bounds the result.
 func (v Vector) Copies(free Vector, most int) int {
 	n := int64(most)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -307,11 +307,16 @@
 // step starts what fits, and holds room for what waits elsewhere.
 func (e *Executor) step(now time.Duration) {
 	e.releaseHolds(func(h hold) bool { return now >= h.until })
-	rest := e.queue[:0]
+	rest, most := e.queue[:0], e.mostFree(now)
 	for _, q := range e.queue {
-		if w := e.place(now, q.task); w != nil {
-			e.startOrHold(now, w, q)
-			continue
+		// In overload hardly any task that waits has room: searched for each at each step, it was
+		// most of what a daemon's processor did, and what ended meanwhile was noticed late.
+		if q.task.Demand.Fits(most) {
+			if w := e.place(now, q.task); w != nil {
+				e.startOrHold(now, w, q)
+				most = e.mostFree(now)
+				continue
+			}
 		}
 		rest = append(rest, q)
 	}
--- a/executor/place.go
+++ b/executor/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lavendercleat/lavendercleat/capacity"
 	"github.com/lavendercleat/lavendercleat/task"
 )
 
@@ -27,7 +28,18 @@
 
 // eligible reports whether the task may start on the worker now.
 func (e *Executor) eligible(now time.Duration, w *worker, t *task.Task) bool {
-	return w.open(now) && w.serves(t) && t.Demand.Fits(w.free()) && w.runs[t.ID] == nil && !w.crowded(t)
+	// The room first: it is what most workers lack, and the cheapest to ask.
+	return t.Demand.Fits(w.free()) && w.serves(t) && w.open(now) && w.runs[t.ID] == nil && !w.crowded(t)
+}
+
+// mostFree bounds, in each dimension, what is left on any one worker that takes new runs.
+func (e *Executor) mostFree(now time.Duration) (most capacity.Vector) {
+	for _, w := range e.order {
+		if free := w.free(); !free.Fits(most) && w.open(now) {
+			most = most.Max(free)
+		}
+	}
+	return most
 }
 
 // placeKey ranks workers for a task; the least is the best.
