--- /dev/null
+++ b/coordinator/cost_test.go
@@ -0,0 +1,45 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// Load: jobs of alike tasks while all workers are busy. How many such tasks an executor can run
+// is counted once for all of them, and anew when its rooms, the task or the retired failure
+// domains are others: what was counted before would send tasks where none of them can run.
+func TestCopiesAreCountedAnew(t *testing.T) {
+	h := Holder{Process: member.Process{Incarnation: 2}}
+	for i := range 3 {
+		h.Rooms = append(h.Rooms, executor.Room{
+			Worker: fmt.Sprint("w", i), Service: "s", Domain: fmt.Sprint("z", i), Open: true, Usable: true,
+			Total: capacity.Vector{MilliCPU: 4000},
+		})
+	}
+	of := func(service string, milliCPU int64) *task.Task {
+		return &task.Task{Service: service, Demand: capacity.Vector{MilliCPU: milliCPU}}
+	}
+	c := New(member.Process{Incarnation: 1})
+	c.SetHolder(h)
+	copies := func(t *task.Task) int { return c.rooms.get(h.Process).copies(t) }
+	for range 2 {
+		assert.Equal(t, copies(of("s", 1000)), 12)
+	}
+	assert.Equal(t, copies(of("s", 2000)), 6)
+	assert.Equal(t, copies(of("other", 2000)), 0)
+	assert.Equal(t, copies(of("s", 2000)), 6)
+	c.Retire(map[string]bool{"z1": true})
+	assert.Equal(t, copies(of("s", 2000)), 4)
+	h.Rooms = h.Rooms[:2]
+	h.Heard = time.Second
+	c.SetHolder(h)
+	assert.Equal(t, copies(of("s", 2000)), 2)
+}
--- a/coordinator/retire.go
+++ b/coordinator/retire.go
@@ -24,6 +24,7 @@
 			r.Open, r.Usable = false, false
 		}
 	}
+	h.counted = counted{} // those were counted
 }
 
 // allRetired reports whether executors have workers of the service, and all of them are of
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -30,6 +30,16 @@
 	Heard time.Duration
 	// Interval is the time after which its next word is due; 0: 100 ms.
 	Interval time.Duration
+	counted  counted
+}
+
+// counted is how many tasks of a kind an executor's workers can run at a time, as it was asked
+// last: the tasks of a job are alike, and each asks it of all executors several times.
+type counted struct {
+	known   bool
+	service string
+	demand  capacity.Vector
+	copies  int
 }
 
 const (
@@ -226,12 +236,16 @@
 // copies is how many such tasks the executor's workers can run at a time: a part of a
 // worker too small for one task is no room.
 func (h *Holder) copies(t *task.Task) int {
+	if c := h.counted; c.known && c.service == t.Service && c.demand == t.Demand {
+		return c.copies
+	}
 	n := 0
 	for _, r := range h.Rooms {
 		if r.Usable && r.Service == t.Service {
 			n += t.Demand.Copies(r.Total, maxCopies)
 		}
 	}
+	h.counted = counted{true, t.Service, t.Demand, n}
 	return n
 }
 
