--- a/executor/executor.go
+++ b/executor/executor.go
@@ -343,7 +343,11 @@
 
 // Rooms returns what is left on each worker in use.
 func (e *Executor) Rooms(now time.Duration) []Room {
-	rooms := make([]Room, 0, len(e.order))
+	return e.AppendRooms(make([]Room, 0, len(e.order)), now)
+}
+
+// AppendRooms appends what is left on each worker in use.
+func (e *Executor) AppendRooms(rooms []Room, now time.Duration) []Room {
 	for _, w := range e.order {
 		if w.phase == held || w.phase == claiming {
 			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Domain: w.info.Domain, Free: w.free(), Total: w.info.Capacity, Open: w.open(now), Usable: w.usable()})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,9 +89,11 @@
 	executor    *executor.Executor
 	coordinator *coordinator.Coordinator
 	waiters     map[string]*waiter
-	fleet       fleetView
-	documents   documents
-	keeper      keeper
+	// ownRooms is the list that ownHolder tells its rooms in.
+	ownRooms  []executor.Room
+	fleet     fleetView
+	documents documents
+	keeper    keeper
 	// lastDo is when the state machines were last run.
 	lastDo time.Duration
 	// awakeAt is when this process went on after it had stood still; 0: it never did.
@@ -245,8 +247,11 @@
 
 // ownHolder is what this daemon's executor has left.
 func (n *Node) ownHolder(now time.Duration) coordinator.Holder {
+	// Told at each event, its list would be most of the garbage that a busy daemon makes. The
+	// coordinator keeps only what it was told last.
+	n.ownRooms = n.executor.AppendRooms(n.ownRooms[:0], now)
 	return coordinator.Holder{
-		Process: n.self.Process, Rooms: n.executor.Rooms(now), Backlog: n.executor.Backlog(now), Heard: now,
+		Process: n.self.Process, Rooms: n.ownRooms, Backlog: n.executor.Backlog(now), Heard: now,
 	}
 }
 
