--- /dev/null
+++ b/coordinator/paces.go
@@ -0,0 +1,107 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+const (
+	// minPaces is how many workers' paces tell what is usual.
+	minPaces = 4
+	// usualFor is how long the usual pace is used before it is found anew: paces are told with
+	// heartbeats.
+	usualFor = 100 * time.Millisecond
+	// slowRatio is how many times as long as usual runs take on a worker that counts as slow;
+	// less is chance, or makes no task late.
+	slowRatio = 1.3
+	// paceMemory is how long a pace that a lost holder told is kept for the worker's next one.
+	paceMemory = 30 * time.Second
+)
+
+// toldPace is what a holder told of a worker.
+type toldPace struct {
+	ratio float64
+	at    time.Duration
+}
+
+// paces is what is known of the speed of workers.
+type paces struct {
+	// usual is the median of all told ratios, by service, found at a time.
+	usual map[string]float64
+	at    time.Duration
+	// lost holds what holders told that are gone, by worker.
+	lost map[string]toldPace
+}
+
+// UsualPaces returns, by service, how many times as long as declared runs take on a usual worker:
+// the median over all executors that are in touch, which half of the workers can't change.
+func (c *Coordinator) UsualPaces(now time.Duration) map[string]float64 {
+	return c.rooms.usualPaces(now)
+}
+
+func (r *rooms) usualPaces(now time.Duration) map[string]float64 {
+	if r.paces.usual != nil && now-r.paces.at < usualFor {
+		return r.paces.usual
+	}
+	told := make(map[string][]float64)
+	for _, h := range r.holders {
+		for i := range h.Rooms {
+			if w := &h.Rooms[i]; w.Pace > 0 && h.offerable(now) {
+				told[w.Service] = append(told[w.Service], w.Pace)
+			}
+		}
+	}
+	r.paces.usual, r.paces.at = make(map[string]float64, len(told)), now
+	for service, list := range told {
+		if len(list) >= minPaces {
+			slices.Sort(list)
+			r.paces.usual[service] = list[len(list)/2]
+		}
+	}
+	return r.paces.usual
+}
+
+// PaceOf returns what was told of a worker last, and how long ago; 0 where nothing was.
+func (c *Coordinator) PaceOf(now time.Duration, worker string) (ratio float64, age time.Duration) {
+	for _, h := range c.rooms.holders {
+		for i := range h.Rooms {
+			if w := &h.Rooms[i]; w.Worker == worker && w.Pace > 0 {
+				return w.Pace, now - h.Heard
+			}
+		}
+	}
+	if p, ok := c.rooms.paces.lost[worker]; ok {
+		return p.ratio, now - p.at
+	}
+	return 0, 0
+}
+
+// keep remembers what a holder told that is lost.
+func (p *paces) keep(now time.Duration, h *Holder) {
+	if p.lost == nil {
+		p.lost = make(map[string]toldPace)
+	}
+	for worker, told := range p.lost {
+		if now-told.at > paceMemory {
+			delete(p.lost, worker)
+		}
+	}
+	for i := range h.Rooms {
+		if w := &h.Rooms[i]; w.Pace > 0 {
+			p.lost[w.Worker] = toldPace{w.Pace, h.Heard}
+		}
+	}
+}
+
+// tooSlow reports whether the task would be late on the worker by its speed alone while it can
+// be on time elsewhere. A task that will be late anyway takes what there is.
+func (r *rooms) tooSlow(now time.Duration, w *executor.Room, t *task.Task) bool {
+	usual := r.paces.usual[w.Service]
+	if w.Pace <= 0 || usual <= 0 || w.Pace < slowRatio*usual || now+t.Expected > t.Due {
+		return false
+	}
+	return now+time.Duration(w.Pace/usual*float64(t.Expected)) > t.Due
+}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -51,6 +51,7 @@
 	holders []*Holder
 	// retired are the failure domains whose workers get no new runs.
 	retired map[string]bool
+	paces   paces
 }
 
 func (r *rooms) set(h Holder) {
@@ -64,7 +65,7 @@
 
 // clone returns a copy for trying out where tasks would go.
 func (r *rooms) clone() *rooms {
-	c := &rooms{holders: make([]*Holder, len(r.holders)), retired: r.retired}
+	c := &rooms{holders: make([]*Holder, len(r.holders)), retired: r.retired, paces: r.paces}
 	for i, h := range r.holders {
 		n := *h
 		n.Rooms, n.Backlog = slices.Clone(h.Rooms), maps.Clone(h.Backlog)
@@ -121,6 +122,7 @@
 
 // find returns the executor and the worker that the task is to be offered for.
 func (r *rooms) find(now time.Duration, t *task.Task) (*Holder, *executor.Room) {
+	r.usualPaces(now)
 	draw := int(drawFor(t) % (1 << 30))
 	for rest := r.holders; len(rest) > 0; {
 		n := 1
@@ -132,7 +134,7 @@
 			if !h.offerable(now) {
 				continue
 			}
-			if room := h.fit(t); room != nil {
+			if room := h.fit(t, func(w *executor.Room) bool { return r.tooSlow(now, w, t) }); room != nil {
 				return h, room
 			}
 		}
@@ -159,11 +161,13 @@
 // drawFor is a pseudo-random number for an offer of the task.
 func drawFor(t *task.Task) uint64 { return xxhash.Sum64String(t.ID.String()) + uint64(t.Run) }
 
-func (h *Holder) fit(t *task.Task) *executor.Room {
+// fit returns the worker with the tightest fit, of those that are no room for the task by their
+// speed none.
+func (h *Holder) fit(t *task.Task, tooSlow func(w *executor.Room) bool) *executor.Room {
 	var best *executor.Room
 	for i := range h.Rooms {
 		w := &h.Rooms[i]
-		if !w.Open || w.Service != t.Service || !t.Demand.Fits(w.Free) || slices.Contains(t.Avoid, w.Worker) {
+		if !w.Open || w.Service != t.Service || !t.Demand.Fits(w.Free) || slices.Contains(t.Avoid, w.Worker) || tooSlow(w) {
 			continue
 		}
 		if best == nil || w.Free.MilliCPU < best.Free.MilliCPU {
@@ -186,11 +190,9 @@
 // wait. The shortest of all would be the choice of all coordinators until its next
 // heartbeat. Nil when no worker may run the task.
 func (r *rooms) queue(now time.Duration, t *task.Task) *Holder {
-	var usable []*Holder
-	for _, h := range r.holders {
-		if h.offerable(now) && h.copies(t) > 0 {
-			usable = append(usable, h)
-		}
+	usable := r.holdersFor(now, t, true)
+	if len(usable) == 0 {
+		usable = r.holdersFor(now, t, false)
 	}
 	n := uint64(len(usable))
 	switch n {
@@ -202,12 +204,22 @@
 	draw := drawFor(t)
 	first := usable[draw%n]
 	second := usable[(draw%n+1+(draw>>32)%(n-1))%n]
-	if second.wait(now, t) < first.wait(now, t) {
+	if r.waitAt(now, second, t) < r.waitAt(now, first, t) {
 		return second
 	}
 	return first
 }
 
+// holdersFor returns the executors with a worker for the task; inTime: one that is fast enough.
+func (r *rooms) holdersFor(now time.Duration, t *task.Task, inTime bool) (list []*Holder) {
+	for _, h := range r.holders {
+		if h.offerable(now) && r.copies(now, h, t, inTime) > 0 {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 // serves reports whether a worker of the service is known.
 func (r *rooms) serves(service string) bool {
 	for _, h := range r.holders {
@@ -224,20 +236,21 @@
 const maxCopies = 1000
 
 // copies is how many such tasks the executor's workers can run at a time: a part of a
-// worker too small for one task is no room.
-func (h *Holder) copies(t *task.Task) int {
+// worker too small for one task is no room; inTime: nor is a worker that is too slow for it.
+func (r *rooms) copies(now time.Duration, h *Holder, t *task.Task, inTime bool) int {
 	n := 0
-	for _, r := range h.Rooms {
-		if r.Usable && r.Service == t.Service {
-			n += t.Demand.Copies(r.Total, maxCopies)
+	for i := range h.Rooms {
+		w := &h.Rooms[i]
+		if w.Usable && w.Service == t.Service && !(inTime && r.tooSlow(now, w, t)) {
+			n += t.Demand.Copies(w.Total, maxCopies)
 		}
 	}
 	return n
 }
 
-// wait is the time for which the work before the task keeps the executor's workers busy.
-func (h *Holder) wait(now time.Duration, t *task.Task) time.Duration {
-	return waitFor(t, h.ahead(now, t), h.copies(t))
+// waitAt is the time for which the work before the task keeps an executor's workers busy.
+func (r *rooms) waitAt(now time.Duration, h *Holder, t *task.Task) time.Duration {
+	return waitFor(t, h.ahead(now, t), r.copies(now, h, t, true))
 }
 
 func (h *Holder) ahead(now time.Duration, t *task.Task) int64 {
@@ -247,14 +260,20 @@
 
 // wait is the time for which the task would wait if all executors had one queue: tasks move
 // to where there is room. copies is how many of them run at a time; 0: no worker may run it.
+// Workers that are too slow for it count only where there are no others.
 func (r *rooms) wait(now time.Duration, t *task.Task) (d time.Duration, copies int) {
-	ahead := int64(0)
+	r.usualPaces(now)
+	ahead, all := int64(0), 0
 	for _, h := range r.holders {
-		if n := h.copies(t); n > 0 && h.offerable(now) {
-			copies += n
+		if n := r.copies(now, h, t, false); n > 0 && h.offerable(now) {
+			all += n
+			copies += r.copies(now, h, t, true)
 			ahead += h.ahead(now, t)
 		}
 	}
+	if copies == 0 {
+		copies = all
+	}
 	return waitFor(t, ahead, copies), copies
 }
 
--- a/coordinator/succession.go
+++ b/coordinator/succession.go
@@ -42,6 +42,7 @@
 func (c *Coordinator) HolderLost(now time.Duration, p member.Process) {
 	workers := make(map[string]bool)
 	if h := c.rooms.get(p); h != nil {
+		c.rooms.paces.keep(now, h)
 		for _, r := range h.Rooms {
 			workers[r.Worker] = true
 		}
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -148,7 +149,7 @@
 func (e *Executor) judge(now time.Duration, w *worker, r *run, o task.Outcome) {
 	switch o {
 	case task.Done:
-		e.ran(w, r, now-r.began)
+		e.ran(now, w, r)
 		w.failures, w.pause, w.probing = 0, 0, false
 	case task.Failed:
 		if w.failures++; w.failures >= failuresToEject {
@@ -171,7 +172,9 @@
 	for _, r := range w.runs {
 		list = append(list, r)
 	}
-	slices.SortFunc(list, func(a, b *run) int { return int(a.began - b.began) })
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.began, b.began), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index))
+	})
 	return list
 }
 
@@ -274,6 +277,7 @@
 			e.absent(now, w, r, a.Clock)
 		}
 	}
+	e.watch(now, w, a.Clock)
 }
 
 func outcomeOf(f Ended) task.Outcome {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -29,8 +29,12 @@
 	holds []hold
 	// answers is how long workers take to answer orders.
 	answers answerTime
-	// usual is the pace of all workers in use.
-	usual usualPace
+	// usual is the pace of all workers in use here, by service; toldUsual that of all holders'
+	// workers, as a ratio, where it is known.
+	usual     map[string]usualPace
+	toldUsual map[string]float64
+	// steps are what tasks have shown lately, by step.
+	steps map[stepKey]*siblings
 	// retired are the failure domains whose workers get no new runs.
 	retired map[string]bool
 	out     Output
@@ -38,7 +42,7 @@
 
 // New returns an executor that holds nothing.
 func New(c Config) *Executor {
-	return &Executor{config: c.withDefaults(), workers: make(map[string]*worker)}
+	return &Executor{config: c.withDefaults(), workers: make(map[string]*worker), usual: make(map[string]usualPace), steps: make(map[stepKey]*siblings)}
 }
 
 // Drain returns what the embedder has to carry out since the last call.
@@ -110,7 +114,7 @@
 
 func (e *Executor) drop(w *worker) {
 	delete(e.workers, w.info.ID)
-	e.usual.remove(w.pace)
+	e.forgetPace(w)
 	e.out.Dropped = append(e.out.Dropped, w.info.ID)
 	e.order = slices.DeleteFunc(e.order, func(o *worker) bool { return o == w })
 }
@@ -242,6 +246,7 @@
 		e.tickWorker(now, w)
 	}
 	e.askUnsettled(now)
+	e.forgetSteps(now)
 	e.expire(now)
 	e.step(now)
 }
@@ -325,6 +330,7 @@
 		task: q.task, id: q.task.ID, owner: q.owner, num: max(q.task.Run, 1), state: starting, began: now, changed: now,
 		deadline: clockNow + e.config.Lease.Milliseconds(),
 	}
+	e.noteStart(now, w, r)
 	w.add(r)
 	e.out.Events = append(e.out.Events, Event{
 		Name: EventStarted, ID: r.id, Run: r.num, Worker: w.info.ID, Detail: fmt.Sprintf("token=%d free_milli_cpu=%d", w.token, w.free().MilliCPU),
@@ -341,7 +347,7 @@
 	rooms := make([]Room, 0, len(e.order))
 	for _, w := range e.order {
 		if w.phase == held || w.phase == claiming {
-			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Domain: w.info.Domain, Free: w.free(), Total: w.info.Capacity, Open: w.open(now), Usable: w.usable()})
+			rooms = append(rooms, Room{Worker: w.info.ID, Service: w.info.Service, Domain: w.info.Domain, Free: w.free(), Total: w.info.Capacity, Open: w.open(now), Usable: w.usable(), Pace: w.pace.ratio()})
 		}
 	}
 	return rooms
--- a/executor/messages.go
+++ b/executor/messages.go
@@ -191,4 +191,6 @@
 	Total  capacity.Vector
 	// Open is false while the worker gets no new runs; Usable tells that it will soon.
 	Open, Usable bool
+	// Pace is how many times as long as declared runs take on the worker; 0: not known.
+	Pace float64
 }
--- a/executor/place.go
+++ b/executor/place.go
@@ -8,9 +8,19 @@
 	"github.com/lavendercleat/lavendercleat/task"
 )
 
+const (
+	// declaredMargin is how many times as long as declared a task is taken to run at most when it
+	// is to be in time on a slow worker: what is declared is off by half.
+	declaredMargin = 1.3
+	// patience is the part of its declared time by which a task may seem late and still wait for
+	// a usual worker rather than start on a slow one, for the same reason.
+	patience = 0.5
+)
+
 // place returns the open worker for a task: one that it has not failed on, where there is a
 // choice; one on which it will be in time, or else the fastest; and of those the one with the
-// least room that it fits into, so that large tasks find room elsewhere.
+// least room that it fits into, so that large tasks find room elsewhere. A task that would be
+// late by the worker's speed alone waits while it can be on time otherwise.
 func (e *Executor) place(now time.Duration, t *task.Task) *worker {
 	var best *worker
 	var bestKey placeKey
@@ -22,6 +32,16 @@
 			best, bestKey = w, key
 		}
 	}
+	switch {
+	case best == nil:
+		return nil
+	case bestKey.late > 0 && e.withheld(now, t, bestKey.late):
+		return nil
+	case bestKey.late == 0:
+		if w := e.probeFor(now, t); w != nil {
+			return w
+		}
+	}
 	return best
 }
 
@@ -39,11 +59,34 @@
 }
 
 func (e *Executor) placeKey(now time.Duration, w *worker, t *task.Task) placeKey {
-	k := placeKey{failed: slices.Contains(t.Avoid, w.info.ID), free: w.free().MilliCPU}
-	if slowness := e.slowness(w); slowness > 1 && now+time.Duration(slowness*float64(t.Expected)) > t.Due {
-		k.late = slowness
+	return placeKey{failed: slices.Contains(t.Avoid, w.info.ID), late: e.lateOn(now, w, t), free: w.free().MilliCPU}
+}
+
+// lateOn is how many times as long as usual the task takes on the worker where it would be late
+// by that; else 0.
+func (e *Executor) lateOn(now time.Duration, w *worker, t *task.Task) float64 {
+	if slowness := e.slowness(w); slowness > 1 && now+time.Duration(declaredMargin*slowness*float64(t.Expected)) > t.Due {
+		return slowness
 	}
-	return k
+	return 0
+}
+
+// withheld reports whether a task waits rather than start where it takes so many times as long
+// as usual: as long as it can be on time elsewhere, or when it would outlast its caller's
+// deadline and a faster worker is here.
+func (e *Executor) withheld(now time.Duration, t *task.Task, slowness float64) bool {
+	if now+t.Expected <= t.Due+time.Duration(patience*float64(t.Expected)) {
+		return true
+	}
+	deadline := t.StartBy + t.Expected/2
+	return !t.Kept && now+time.Duration(slowness*float64(t.Expected)) > deadline && e.faster(now, t)
+}
+
+// faster reports whether a worker in use would run the task as usual.
+func (e *Executor) faster(now time.Duration, t *task.Task) bool {
+	return slices.ContainsFunc(e.order, func(w *worker) bool {
+		return w.usable() && w.serves(t) && e.slowness(w) <= 1
+	})
 }
 
 func (k placeKey) compare(o placeKey) int {
--- a/executor/polls.go
+++ b/executor/polls.go
@@ -57,7 +57,7 @@
 	if !w.polling && now >= w.nextPoll {
 		e.poll(now, w)
 	}
-	if w.suspectStarts(now, e.answers.suspicion()) {
+	if w.suspectStarts(now, e.answers.suspicion()) || e.unseen(now, w) {
 		e.look(now, w)
 	}
 	if now >= w.nextLook && w.doubts() {
--- a/executor/speed.go
+++ b/executor/speed.go
@@ -14,6 +14,15 @@
 	// alike is by how much, as a logarithm, a worker's run times may differ from what is usual
 	// before it counts as slower or faster: less is chance, or makes no job late.
 	alike = 0.25
+	// toldStep is by how much, as a logarithm, a pace has to change before others are told
+	// anew: with less they would be with each run.
+	toldStep = 0.25
+	// inheritWithin is the age up to which a pace that another holder has told is taken over:
+	// workers turn slow for seconds more often than for good.
+	inheritWithin = 30 * time.Second
+	// inheritFor is how long a new worker's pace is asked for: a process that has just started has
+	// heard all others by then.
+	inheritFor = 2 * time.Second
 )
 
 // pace is how long runs take compared with what was declared, as a mean of logarithms: one
@@ -21,15 +30,42 @@
 type pace struct {
 	mean float64
 	runs int
+	// told is the mean as others are told of it.
+	told float64
+	// odd is the last job that stood out, while nothing confirms or refutes it.
+	odd odd
+	// askUntil is until when others are asked for what they were told of the worker; 0: not yet.
+	askUntil time.Duration
 }
 
-func (p *pace) observe(declared, took time.Duration) {
+func (p *pace) observe(ratio float64) {
 	p.runs++
-	p.mean += (math.Log(float64(took)/float64(declared)) - p.mean) / float64(min(p.runs, speedRuns))
+	p.mean += (ratio - p.mean) / float64(min(p.runs, speedRuns))
+	p.tell()
+}
+
+// set replaces what is known.
+func (p *pace) set(mean float64) {
+	p.mean, p.runs, p.odd = mean, knownAfter, odd{}
+	p.tell()
+}
+
+func (p *pace) tell() {
+	if math.Abs(p.mean-p.told) >= toldStep {
+		p.told = p.mean
+	}
 }
 
 func (p *pace) known() bool { return p.runs >= knownAfter }
 
+// ratio is actual over declared time as it is told; 0: not known.
+func (p *pace) ratio() float64 {
+	if !p.known() {
+		return 0
+	}
+	return math.Exp(p.told)
+}
+
 // usualPace is the mean of the paces of an executor's workers, each counting the same however
 // many runs it gets: otherwise slow workers would look the more usual the more they are given.
 type usualPace struct {
@@ -51,14 +87,76 @@
 	}
 }
 
+// SetUsual tells, by service, how many times as long as declared runs take on a usual worker
+// of all holders'. A holder all of whose workers are slow can't see it by comparing them.
+func (e *Executor) SetUsual(usual map[string]float64) { e.toldUsual = usual }
+
+// Inherit takes over what other holders have told of workers that are new here, and how long
+// ago. What is wrong costs little: the worker is tried at once, and judged by what it does.
+func (e *Executor) Inherit(now time.Duration, told func(worker string) (ratio float64, age time.Duration)) {
+	for _, w := range e.order {
+		if w.pace.askUntil == 0 {
+			w.pace.askUntil = now + inheritFor
+		}
+		if w.pace.runs > 0 || now > w.pace.askUntil {
+			continue
+		}
+		if ratio, age := told(w.info.ID); ratio > 0 && age <= inheritWithin {
+			e.setPace(w, math.Log(ratio))
+		}
+	}
+}
+
+// usualFor is the usual pace of a service's workers.
+func (e *Executor) usualFor(service string) float64 {
+	if ratio := e.toldUsual[service]; ratio > 0 {
+		return math.Log(ratio)
+	}
+	if u := e.usual[service]; u.count > 0 {
+		return u.sum / float64(u.count)
+	}
+	return 0
+}
+
+// changePace lets f change a worker's pace and keeps the mean of all in step.
+func (e *Executor) changePace(w *worker, f func(p *pace)) {
+	u := e.usual[w.info.Service]
+	u.remove(w.pace)
+	f(&w.pace)
+	u.add(w.pace)
+	e.usual[w.info.Service] = u
+}
+
+func (e *Executor) setPace(w *worker, mean float64) {
+	e.changePace(w, func(p *pace) { p.set(mean) })
+}
+
+// forgetPace drops what is known of a worker that leaves.
+func (e *Executor) forgetPace(w *worker) {
+	e.changePace(w, func(p *pace) { *p = pace{askUntil: p.askUntil} })
+}
+
 // ran notes how long a run took that this executor started and that ended well.
-func (e *Executor) ran(w *worker, r *run, took time.Duration) {
-	if r.deadline == 0 || r.task.Expected <= 0 || took <= 0 {
+func (e *Executor) ran(now time.Duration, w *worker, r *run) {
+	if r.seen {
+		// It may have run at two paces; the last one counts.
+		if s, ok := r.window(now, now-r.lastMark, 100); ok {
+			s.ended = true
+			e.witness(now, w, s)
+		}
 		return
 	}
-	e.usual.remove(w.pace)
-	w.pace.observe(r.task.Expected, took)
-	e.usual.add(w.pace)
+	if ratio, ok := r.ratio(now - r.began); ok {
+		e.witness(now, w, sight{run: r, least: ratio, most: ratio, from: r.began, ended: true})
+	}
+}
+
+// ratio is actual over declared time, as a logarithm; ok is false where a run tells nothing.
+func (r *run) ratio(took time.Duration) (ratio float64, ok bool) {
+	if r.task == nil || r.deadline == 0 || r.task.Expected <= 0 || took <= 0 {
+		return 0, false
+	}
+	return math.Log(float64(took) / float64(r.task.Expected)), true
 }
 
 // slowness is how many times as long as usual the worker's runs take; 1 where that isn't
@@ -67,7 +165,7 @@
 	if !w.pace.known() {
 		return 1
 	}
-	if difference := w.pace.mean - e.usual.sum/float64(e.usual.count); math.Abs(difference) > alike {
+	if difference := w.pace.mean - e.usualFor(w.info.Service); math.Abs(difference) > alike {
 		return math.Exp(difference)
 	}
 	return 1
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -62,6 +62,18 @@
 	// percent is the last listed progress, changed when it last grew.
 	percent int
 	changed time.Duration
+	// marked is the progress at markedAt, on the worker's clock, from which on the next word on
+	// the run's pace counts; seen: there was one.
+	// first are the bounds that it gave first, lastMark when the last one came.
+	marked   int
+	markedAt int64
+	lastMark time.Duration
+	seen     bool
+	first    [2]float64
+	// looked: the worker's lists were asked for because of it.
+	looked bool
+	// probe: it was started to see whether its worker still is slow.
+	probe bool
 }
 
 // clock is a reading of a worker's clock.
@@ -112,8 +124,10 @@
 	pausedUntil, pause time.Duration
 	// failures counts failed runs in a row.
 	failures int
-	// pace is how fast it is.
-	pace pace
+	// pace is how fast it is. A slow worker gets a probe from probeAt on, the next one probePause
+	// after that.
+	pace                pace
+	probeAt, probePause time.Duration
 	// probing: after it was closed for its runs, the worker gets one task at a time until
 	// one has ended well.
 	probing bool
--- a/internal/mesh/pulse.go
+++ b/internal/mesh/pulse.go
@@ -116,6 +116,7 @@
 		if c.roomsAt[i] > has {
 			p.Updates = append(p.Updates, &schema.RoomUpdate{
 				Index: uint32(i), MilliCpu: r.MilliCpu, MemoryMb: r.MemoryMb, Gpus: r.Gpus, Open: r.Open, Usable: r.Usable,
+				PacePercent: r.PacePercent,
 			})
 		}
 	}
@@ -134,7 +135,8 @@
 }
 
 func sameRoom(a, b *schema.Room) bool {
-	return a.MilliCpu == b.MilliCpu && a.MemoryMb == b.MemoryMb && a.Gpus == b.Gpus && a.Open == b.Open && a.Usable == b.Usable
+	return a.MilliCpu == b.MilliCpu && a.MemoryMb == b.MemoryMb && a.Gpus == b.Gpus && a.Open == b.Open && a.Usable == b.Usable &&
+		a.PacePercent == b.PacePercent
 }
 
 // interval is the time between this daemon's heartbeats.
@@ -198,6 +200,7 @@
 		}
 		r := h.rooms[u.GetIndex()]
 		r.MilliCpu, r.MemoryMb, r.Gpus, r.Open, r.Usable = u.GetMilliCpu(), u.GetMemoryMb(), u.GetGpus(), u.GetOpen(), u.GetUsable()
+		r.PacePercent = u.GetPacePercent()
 	}
 	p.Rooms = h.rooms
 	return nil
--- a/internal/node/convert.go
+++ b/internal/node/convert.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"time"
 
 	"github.com/lavendercleat/lavendercleat/capacity"
@@ -143,6 +144,15 @@
 	return out
 }
 
+// paceToWire tells a ratio in percent; 0: not known.
+func paceToWire(ratio float64) uint32 {
+	return uint32(min(max(math.Round(100*ratio), 0), maxPacePercent))
+}
+
+// maxPacePercent bounds what is told of a worker's pace: one that takes a hundred times as long
+// as declared is as useless as a slower one.
+const maxPacePercent = 10000
+
 // holderFromPulse takes a peer's heartbeat as what its executor has left.
 func holderFromPulse(p member.Process, near int, pulse *schema.Pulse) coordinator.Holder {
 	h := coordinator.Holder{
@@ -155,6 +165,7 @@
 			Worker: r.GetWorker(), Service: r.GetService(), Open: r.GetOpen(), Usable: r.GetUsable(),
 			Free:  capacity.Vector{MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), GPUs: r.GetGpus()},
 			Total: capacity.Vector{MilliCPU: r.GetTotalMilliCpu(), MemoryMB: r.GetTotalMemoryMb(), GPUs: r.GetTotalGpus()},
+			Pace:  float64(r.GetPacePercent()) / 100,
 		})
 	}
 	for _, b := range pulse.GetBacklogs() {
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -339,6 +339,7 @@
 		}
 	}
 	n.executor.SetWorkers(now, own)
+	n.sharePaces(now)
 	n.executor.Remove(now, func(id string) bool { return f.workers[id] == nil })
 	n.log.WithFields(logrus.Fields{"event": "workers_assigned", "own": len(own), "all": len(all), "peers": len(f.up)}).Debug()
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -126,12 +126,14 @@
 	now := n.clock.now()
 	n.fleet.setInterval()
 	n.judgeReader(now)
+	n.sharePaces(now)
 	p := &schema.Pulse{Leaving: n.stopping.Load(), Serving: n.table.Load() != nil, StoreLost: n.documents.lost(now), DocumentVersion: n.documentVersion(), NextMs: n.fleet.interval.Milliseconds()}
 	for _, r := range n.executor.Rooms(now) {
 		p.Rooms = append(p.Rooms, &schema.Room{
 			Worker: r.Worker, Service: r.Service, Open: r.Open, Usable: r.Usable,
 			MilliCpu: r.Free.MilliCPU, MemoryMb: r.Free.MemoryMB, Gpus: r.Free.GPUs,
 			TotalMilliCpu: r.Total.MilliCPU, TotalMemoryMb: r.Total.MemoryMB, TotalGpus: r.Total.GPUs,
+			PacePercent: paceToWire(r.Pace),
 		})
 	}
 	for service, work := range n.executor.Backlog(now) {
--- a/test/policy/daemon_test.go
+++ b/test/policy/daemon_test.go
@@ -33,6 +33,7 @@
 // pulse tells all other daemons of the room here.
 func (d *daemon) pulse() {
 	d.m.at(d.m.now+heartbeat, d.pulse)
+	d.executor.SetUsual(d.coordinator.UsualPaces(d.m.now))
 	for i, p := range d.m.daemons {
 		if p == d {
 			continue
