--- a/coordinator/paces.go
+++ b/coordinator/paces.go
@@ -96,12 +96,8 @@
 	}
 }
 
-// tooSlow reports whether the task would be late on the worker by its speed alone while it can
-// be on time elsewhere. A task that will be late anyway takes what there is.
+// tooSlow reports whether the worker is no room for the task by its speed.
 func (r *rooms) tooSlow(now time.Duration, w *executor.Room, t *task.Task) bool {
 	usual := r.paces.usual[w.Service]
-	if w.Pace <= 0 || usual <= 0 || w.Pace < slowRatio*usual || now+t.Expected > t.Due {
-		return false
-	}
-	return now+time.Duration(w.Pace/usual*float64(t.Expected)) > t.Due
+	return usual > 0 && w.Pace >= slowRatio*usual && executor.TooSlow(now, t, w.Pace/usual)
 }
--- a/executor/place.go
+++ b/executor/place.go
@@ -65,17 +65,34 @@
 // lateOn is how many times as long as usual the task takes on the worker where it would be late
 // by that; else 0.
 func (e *Executor) lateOn(now time.Duration, w *worker, t *task.Task) float64 {
-	if slowness := e.slowness(w); slowness > 1 && now+time.Duration(declaredMargin*slowness*float64(t.Expected)) > t.Due {
+	if slowness := e.slowness(w); lateBy(now, t, slowness) {
 		return slowness
 	}
 	return 0
 }
 
+// lateBy reports whether the task is probably late on a worker that takes so many times as long
+// as usual.
+func lateBy(now time.Duration, t *task.Task, slowness float64) bool {
+	return slowness > 1 && now+time.Duration(declaredMargin*slowness*float64(t.Expected)) > t.Due
+}
+
+// mayWait reports whether a task that starts later on a usual worker may still be on time.
+func mayWait(now time.Duration, t *task.Task) bool {
+	return now+t.Expected <= t.Due+time.Duration(patience*float64(t.Expected))
+}
+
+// TooSlow reports whether a worker that takes so many times as long as usual is no room for the
+// task: it is probably late there, and may be on time elsewhere.
+func TooSlow(now time.Duration, t *task.Task, slowness float64) bool {
+	return mayWait(now, t) && lateBy(now, t, slowness)
+}
+
 // withheld reports whether a task waits rather than start where it takes so many times as long
 // as usual: as long as it can be on time elsewhere, or when it would outlast its caller's
 // deadline and a faster worker is here.
 func (e *Executor) withheld(now time.Duration, t *task.Task, slowness float64) bool {
-	if now+t.Expected <= t.Due+time.Duration(patience*float64(t.Expected)) {
+	if mayWait(now, t) {
 		return true
 	}
 	deadline := t.StartBy + t.Expected/2
--- a/executor/suspect.go
+++ b/executor/suspect.go
@@ -125,8 +125,9 @@
 	}
 	raw := s.least
 	if compared {
-		// The job's own length explains at most what there is to explain.
-		explained := min(factor, max(s.least-usual, 0))
+		// The job's own length explains at most what there is to explain, and never adds to it:
+		// means that rise by what is usual, which is their mean, would rise for ever.
+		explained := min(max(factor, 0), max(s.least-usual, 0))
 		s.least, s.most = s.least-explained, s.most-explained
 		raw -= siblingWeight * explained
 	}
