--- /dev/null
+++ b/coordinator/paces_test.go
@@ -0,0 +1,81 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/member"
+)
+
+// paced tells of an executor with a free worker of each pace.
+func (r *rig) paced(p member.Process, near int, paces map[string]float64) {
+	h := Holder{Process: p, Near: near, Heard: r.now}
+	for name, pace := range paces {
+		room := roomFor(name, 4)
+		room.Pace = pace
+		h.Rooms = append(h.Rooms, room)
+	}
+	r.c.SetHolder(h)
+}
+
+// The nearest executor has free workers that take six times as long as those of others. A task that would be
+// late there is offered where it isn't; taken for room, slow workers make most wide jobs late.
+func TestSlowWorkersAreNoRoom(t *testing.T) {
+	r := newRig(t)
+	r.paced(peerB, 1, map[string]float64{"w1": 6, "w2": 6})
+	r.paced(peerC, 2, map[string]float64{"w3": 1, "w4": 1.2, "w5": 0.9})
+	r.c.Submit(r.now, testJob("j", 2))
+	assert.Equal(t, len(r.offers(peerB)), 0)
+	assert.Equal(t, len(r.offers(peerC)), 2)
+}
+
+// Only slow workers are left of a service, or all are slow: they are all used, and nothing is refused.
+func TestSlowWorkersAreUsedWhereThereAreNoOthers(t *testing.T) {
+	r := newRig(t)
+	r.paced(peerB, 1, map[string]float64{"w1": 6, "w2": 6, "w3": 6})
+	r.paced(peerC, 2, map[string]float64{"w4": 6})
+	r.c.Submit(r.now, testJob("j", 2))
+	assert.Equal(t, len(r.offers(peerB)), 2, "as usual as the others")
+	full := roomFor("w5", 0)
+	full.Pace = 1
+	r.c.SetHolder(Holder{Process: peerC, Near: 2, Heard: r.now, Rooms: []executor.Room{full, full, full, full, full}})
+	r.now += usualFor
+	r.c.Submit(r.now, testJob("k", 1))
+	assert.Equal(t, len(r.answers), 0)
+	assert.Equal(t, len(r.offers(peerC)), 1, "it waits for a usual one")
+	r.c.HolderLost(r.now, peerC)
+	r.c.Submit(r.now, testJob("l", 1))
+	assert.Equal(t, len(r.offers(peerB)), 1)
+}
+
+// A worker's holder is killed. What it told of the worker is there for the next one, with its age.
+func TestPaceOutlivesItsHolder(t *testing.T) {
+	r := newRig(t)
+	r.paced(peerB, 1, map[string]float64{"w1": 6})
+	r.now += time.Second
+	r.c.HolderLost(r.now, peerB)
+	r.now += time.Second
+	r.paced(peerC, 1, map[string]float64{"w1": 0, "w2": 1})
+	ratio, age := r.c.PaceOf(r.now, "w1")
+	assert.Equal(t, ratio, 6.0)
+	assert.Equal(t, age, 2*time.Second)
+	ratio, _ = r.c.PaceOf(r.now, "w9")
+	assert.Equal(t, ratio, 0.0)
+}
+
+// What is usual is the median over all executors in touch: neither a few slow workers nor an executor that
+// isn't heard of changes it.
+func TestUsualPace(t *testing.T) {
+	r := newRig(t)
+	r.paced(peerB, 1, map[string]float64{"w1": 9, "w2": 8, "w3": 1.1})
+	assert.Equal(t, len(r.c.UsualPaces(r.now)), 0, "too few to tell")
+	r.now += usualFor
+	r.paced(peerC, 1, map[string]float64{"w4": 1, "w5": 1.2, "w6": 1.3, "w7": 1.1})
+	assert.Equal(t, r.c.UsualPaces(r.now)["quotes"], 1.2)
+	r.now += time.Second
+	r.paced(peerC, 1, map[string]float64{"w4": 1, "w5": 1, "w6": 1, "w7": 1})
+	assert.Equal(t, r.c.UsualPaces(r.now)["quotes"], 1.0)
+}
--- /dev/null
+++ b/executor/suspect_test.go
@@ -0,0 +1,214 @@
+package executor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// on starts a task of a job on a worker. Its declared time is 400 ms.
+func (r *rig) on(worker, job string, index uint32) {
+	r.t.Helper()
+	for id, w := range r.e.workers {
+		if w.pausedUntil = 0; id != worker {
+			w.pausedUntil = time.Hour
+		}
+	}
+	one := testTask(job, index)
+	one.Expected, one.Due = 400*time.Millisecond, r.now+time.Minute
+	r.e.Offer(r.now, ownerA, []task.Task{one})
+	r.answer(r.take(CallStart, worker), Answer{Verdict: OK})
+	for _, w := range r.e.workers {
+		w.pausedUntil = 0
+	}
+}
+
+// progress lets a worker list what runs there, by job, at a percentage.
+func (r *rig) progress(worker string, percents map[string]int) {
+	r.t.Helper()
+	var running []Listed
+	for id, run := range r.e.workers[worker].runs {
+		if percent, ok := percents[id.Job]; ok {
+			running = append(running, Listed{RunningTask: task.RunningTask{ID: id, Run: run.num}, Percent: percent})
+		}
+	}
+	r.answer(r.take(CallPoll, worker), Answer{Verdict: OK, Running: running})
+}
+
+func (r *rig) slowness(worker string) float64 { return r.e.slowness(r.e.workers[worker]) }
+
+// What the lists of w1 and w2 show of jobs each 100 ms, in percent, and which worker is slow by
+// it. A slow worker that isn't found makes most wide jobs late; a usual one that is left out for a
+// long job is room lost when it is short.
+func TestSlowWorkersByProgress(t *testing.T) {
+	type lists []map[string]int
+	for _, c := range []struct {
+		what   string
+		w1, w2 lists
+		slow   bool
+	}{
+		{"a run as declared", lists{{"a": 25}, {"a": 50}, {"a": 75}}, nil, false},
+		{"half as long again", lists{{"a": 17}, {"a": 33}, {"a": 50}}, nil, false},
+		{"one job takes seven times as long", lists{{"a": 3}, {"a": 7}, {"a": 10}}, nil, false},
+		{"a run that slows down is its own measure", lists{{"a": 25}, {"a": 29}}, nil, true},
+		{"two jobs that stand out", lists{{"a": 4, "b": 4}}, nil, true},
+		{"one beside a usual one is long by itself", lists{{"a": 4, "b": 25}, {"a": 8, "b": 50}}, nil, false},
+		{"its other task runs as usual elsewhere", lists{{"a": 4}, {"a": 8}}, lists{{"a": 25}, {"a": 50}}, true},
+		{"its other task takes as long elsewhere", lists{{"a": 4}, {"a": 8}}, lists{{"a": 4}, {"a": 8}}, false},
+	} {
+		r := newRig(t)
+		r.hold("w1", "w2")
+		r.e.SetUsual(map[string]float64{"quotes": 1})
+		for job := range c.w1[0] {
+			r.on("w1", job, 0)
+		}
+		if c.w2 != nil {
+			r.on("w2", "a", 1)
+		}
+		for i, list := range c.w1 {
+			r.pass(100 * time.Millisecond)
+			if c.w2 != nil {
+				r.progress("w2", c.w2[i])
+			}
+			r.progress("w1", list)
+		}
+		assert.Equal(t, r.slowness("w1") > 2, c.slow, c.what)
+		assert.Assert(t, r.slowness("w2") < 2, c.what)
+	}
+}
+
+// Jobs whose tasks run side by side on all workers, each off from what was declared: workers that are
+// alike stay alike, and what is usual stays what was seen. Fed by each other's means only, it rose for ever.
+func TestUsualStaysWhatWasSeen(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1", "w2", "w3")
+	for n := range 120 {
+		for i, id := range []string{"w1", "w2", "w3"} {
+			off := []float64{0.6, 1, 1.6}[n%3] * []float64{0.9, 1, 1.1}[(n+i)%3]
+			one := testTask(fmt.Sprint(n), uint32(i))
+			run := &run{task: &one, id: one.ID, num: 1, began: r.now, deadline: 1}
+			r.e.ran(r.now+time.Duration(off*float64(one.Expected)), r.e.workers[id], run)
+		}
+		r.now += 200 * time.Millisecond
+	}
+	for _, room := range r.e.Rooms(r.now) {
+		assert.Assert(t, room.Pace > 0.7 && room.Pace < 1.4, "%+v", room)
+		assert.Equal(t, r.slowness(room.Worker), 1.0)
+	}
+}
+
+// told makes an executor take over what was told of its workers, ago.
+func (r *rig) told(ratios map[string]float64, ago time.Duration) {
+	r.e.SetUsual(map[string]float64{"quotes": 1})
+	r.e.Inherit(r.now, func(worker string) (float64, time.Duration) { return ratios[worker], ago })
+}
+
+// urgent is a task of 200 ms that is on time within 380 ms of now.
+func (r *rig) urgent(job string) task.Task {
+	one := testTask(job, 0)
+	one.Expected, one.Due, one.StartBy = 200*time.Millisecond, r.now+380*time.Millisecond, r.now+time.Second
+	return one
+}
+
+// A free slow worker draws tasks that would be late there and are on time on the next one that gets
+// free. They wait for that; when they can't be on time any more, late is better than not at all.
+func TestTaskWaitsForAUsualWorker(t *testing.T) {
+	r := newRig(t)
+	r.hold("fast", "slow")
+	r.told(map[string]float64{"slow": 3}, 0)
+	r.e.workers["slow"].probeAt = time.Hour
+	r.on("fast", "a", 0)
+	r.on("fast", "a", 1)
+	first, second := r.urgent("b"), r.urgent("c")
+	r.e.Offer(r.now, ownerA, []task.Task{first, second})
+	r.pass(100 * time.Millisecond)
+	assert.Assert(t, !r.has(CallStart))
+	r.answer(r.take(CallPoll, "fast"), Answer{Verdict: OK, Running: listing(testTask("a", 1).ID, 1), Ended: []Ended{endOf(1, testTask("a", 0).ID, 1, "done")}})
+	assert.Equal(t, r.take(CallStart, "").Worker, "fast")
+	r.pass(200 * time.Millisecond)
+	assert.Equal(t, r.take(CallStart, "").Worker, "slow")
+}
+
+// All workers of all holders take six times as long as declared: none is slow, and all are used at once.
+func TestAllSlowAreUsed(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.told(map[string]float64{"w1": 6}, 0)
+	assert.Assert(t, r.slowness("w1") > 5, "the other holders' workers are faster")
+	r.e.SetUsual(map[string]float64{"quotes": 6})
+	r.e.Offer(r.now, ownerA, []task.Task{r.urgent("a")})
+	r.take(CallStart, "w1")
+}
+
+// A worker was told as slow, and is fast: that was wrong, or is over. It is tried at once with a task that
+// can be on time elsewhere, and used as any other as soon as that task's progress is read.
+func TestWronglyToldSlowIsUsedAgain(t *testing.T) {
+	r := newRig(t)
+	r.hold("fast", "told")
+	r.told(map[string]float64{"told": 6}, 10*time.Second)
+	one := r.urgent("a")
+	r.e.Offer(r.now, ownerA, []task.Task{one})
+	c := r.take(CallStart, "told")
+	r.answer(c, Answer{Verdict: OK})
+	r.pass(75 * time.Millisecond)
+	r.progress("told", map[string]int{"a": 37})
+	assert.Equal(t, r.slowness("told"), 1.0)
+	assert.Assert(t, !r.has(CallStop))
+}
+
+// What was told long ago says nothing, and what was seen here counts for more than what is told.
+func TestOldWordIsNotTakenOver(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	r.told(map[string]float64{"w1": 6}, inheritWithin+time.Second)
+	assert.Equal(t, r.slowness("w1"), 1.0)
+	r.pass(inheritFor + 50*time.Millisecond)
+	r.told(map[string]float64{"w1": 6}, 0)
+	assert.Equal(t, r.slowness("w1"), 1.0)
+}
+
+// A slow worker is tried, and still is slow. The run is stopped while its task can be on time elsewhere, and only
+// once: the same task, offered again, is left where it is. The next try comes later than the last one did.
+func TestTryOnASlowWorkerEndsInTime(t *testing.T) {
+	r := newRig(t)
+	r.hold("fast", "slow")
+	r.told(map[string]float64{"slow": 6}, 0)
+	one := r.urgent("a")
+	r.e.Offer(r.now, ownerA, []task.Task{one})
+	r.answer(r.take(CallStart, "slow"), Answer{Verdict: OK})
+	r.pass(75 * time.Millisecond)
+	r.progress("slow", map[string]int{"a": 6})
+	r.answer(r.take(CallStop, "slow"), Answer{Verdict: OK})
+	assert.Equal(t, r.outcomes(ownerA, one.ID), "started ", "it may run on")
+	r.answer(r.take(CallPoll, "slow"), Answer{Verdict: OK, Ended: []Ended{endOf(1, one.ID, 1, "stopped")}})
+	assert.Equal(t, r.outcomes(ownerA, one.ID), "started gone ")
+	one.Run, one.Avoid = 2, []string{"slow"}
+	r.e.Offer(r.now, ownerA, []task.Task{one})
+	assert.Equal(t, r.take(CallStart, "").Worker, "fast")
+	assert.Assert(t, r.e.workers["slow"].probeAt-r.now > probePause/2)
+}
+
+// Runs of kept jobs are never stopped for their worker's speed, nor those of a task that has been
+// stopped before: its work would go round.
+func TestRunsThatStayOnSlowWorkers(t *testing.T) {
+	for _, change := range []func(*task.Task){
+		func(t *task.Task) { t.Kept = true },
+		func(t *task.Task) { t.Avoid = []string{"other"} },
+	} {
+		r := newRig(t)
+		r.hold("slow", "fast")
+		one := r.urgent("a")
+		change(&one)
+		r.e.workers["fast"].pausedUntil = time.Hour
+		r.started(ownerA, one)
+		r.e.workers["fast"].pausedUntil = 0
+		r.told(map[string]float64{"slow": 6}, 0)
+		r.pass(75 * time.Millisecond)
+		r.progress("slow", map[string]int{"a": 6})
+		assert.Assert(t, !r.has(CallStop))
+	}
+}
