--- a/executor/executor.go
+++ b/executor/executor.go
@@ -30,7 +30,7 @@
 	// answers is how long workers take to answer orders.
 	answers answerTime
 	// usual is the pace of all workers in use here, by service; toldUsual that of all holders'
-	// workers, as a ratio, where it is known.
+	// workers, where it is known.
 	usual     map[string]usualPace
 	toldUsual map[string]float64
 	// steps are what tasks have shown lately, by step.
@@ -92,6 +92,9 @@
 	if w == nil || !e.announced(now, w, i) {
 		return
 	}
+	if i.Service != w.info.Service {
+		e.forgetPace(w)
+	}
 	w.info, w.retired = i, e.retired[i.Domain]
 }
 
--- a/executor/place.go
+++ b/executor/place.go
@@ -90,9 +90,9 @@
 
 // withheld reports whether a task waits rather than start where it takes so many times as long
 // as usual: as long as it can be on time elsewhere, or when it would outlast its caller's
-// deadline and a faster worker is here.
+// deadline and a faster worker is here. Of workers with a label only those here are known.
 func (e *Executor) withheld(now time.Duration, t *task.Task, slowness float64) bool {
-	if mayWait(now, t) {
+	if mayWait(now, t) && (t.Label == "" || e.faster(now, t)) {
 		return true
 	}
 	deadline := t.StartBy + t.Expected/2
--- a/executor/rebirth.go
+++ b/executor/rebirth.go
@@ -69,6 +69,7 @@
 		}
 	}
 	w.forgetEnds()
+	e.forgetPace(w) // it may be of another kind now
 	w.silent, w.suspect, w.probing, w.failures = 0, false, false, 0
 	w.waiting = nil
 	if w.phase != held && w.phase != claiming && w.phase != acquiring {
--- a/executor/speed.go
+++ b/executor/speed.go
@@ -89,7 +89,12 @@
 
 // SetUsual tells, by service, how many times as long as declared runs take on a usual worker
 // of all holders'. A holder all of whose workers are slow can't see it by comparing them.
-func (e *Executor) SetUsual(usual map[string]float64) { e.toldUsual = usual }
+func (e *Executor) SetUsual(usual map[string]float64) {
+	e.toldUsual = make(map[string]float64, len(usual))
+	for service, ratio := range usual {
+		e.toldUsual[service] = math.Log(ratio)
+	}
+}
 
 // Inherit takes over what other holders have told of workers that are new here, and how long
 // ago. What is wrong costs little: the worker is tried at once, and judged by what it does.
@@ -109,8 +114,8 @@
 
 // usualFor is the usual pace of a service's workers.
 func (e *Executor) usualFor(service string) float64 {
-	if ratio := e.toldUsual[service]; ratio > 0 {
-		return math.Log(ratio)
+	if told, ok := e.toldUsual[service]; ok {
+		return told
 	}
 	if u := e.usual[service]; u.count > 0 {
 		return u.sum / float64(u.count)
--- a/executor/suspect_test.go
+++ b/executor/suspect_test.go
@@ -133,6 +133,26 @@
 	assert.Equal(t, r.take(CallStart, "").Worker, "slow")
 }
 
+// The only worker with the label that a task asks for is a slow one. It is used at once: waiting would make
+// the task later. When the worker comes back as another life, what was known of the last one is forgotten.
+func TestSlowWorkerWithTheOnlyLabel(t *testing.T) {
+	r := newRig(t)
+	info := workerNamed("slow")
+	info.Labels, info.Incarnation = []string{"gpu"}, 1
+	r.e.SetWorkers(r.now, []WorkerInfo{info})
+	r.pass(25 * time.Millisecond)
+	r.answer(r.take(CallPoll, "slow"), Answer{Verdict: OK, Incarnation: 1})
+	r.e.Asked(r.now, "slow", nil)
+	r.told(map[string]float64{"slow": 6}, 0)
+	one := r.urgent("a")
+	one.Label = "gpu"
+	r.e.Offer(r.now, ownerA, []task.Task{one})
+	r.take(CallStart, "slow")
+	info.Incarnation = 2
+	r.e.Update(r.now, info)
+	assert.Equal(t, r.slowness("slow"), 1.0)
+}
+
 // All workers of all holders take six times as long as declared: none is slow, and all are used at once.
 func TestAllSlowAreUsed(t *testing.T) {
 	r := newRig(t)
--- /dev/null
+++ b/internal/node/paces_test.go
@@ -0,0 +1,19 @@
+package node
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/member"
+	"github.com/lavendercleat/lavendercleat/schema"
+)
+
+// What a holder tells of a worker's pace arrives at coordinators; what an earlier daemon doesn't tell, or a
+// worker of which nothing is known, is not taken for a fast one.
+func TestPacesAreTold(t *testing.T) {
+	for ratio, want := range map[float64]float64{0: 0, 1: 1, 6.004: 6, 1e9: 100} {
+		h := holderFromPulse(member.Process{}, farDomain, &schema.Pulse{Rooms: []*schema.Room{{PacePercent: paceToWire(ratio)}}})
+		assert.Equal(t, h.Rooms[0].Pace, want)
+	}
+}
