--- a/coordinator/paces.go
+++ b/coordinator/paces.go
@@ -96,8 +96,14 @@
 	}
 }
 
-// tooSlow reports whether the worker is no room for the task by its speed.
-func (r *rooms) tooSlow(now time.Duration, w *executor.Room, t *task.Task) bool {
-	usual := r.paces.usual[w.Service]
-	return usual > 0 && w.Pace >= slowRatio*usual && executor.TooSlow(now, t, w.Pace/usual)
+// usualRatio is what runs take on a usual worker of a service; 0: not known.
+type usualRatio float64
+
+func (r *rooms) usualRatio(now time.Duration, service string) usualRatio {
+	return usualRatio(r.usualPaces(now)[service])
+}
+
+// tooSlow reports whether a worker is no room for the task by its speed.
+func (u usualRatio) tooSlow(now time.Duration, w *executor.Room, t *task.Task) bool {
+	return u > 0 && w.Pace >= slowRatio*float64(u) && executor.TooSlow(now, t, w.Pace/float64(u))
 }
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -122,7 +122,7 @@
 
 // find returns the executor and the worker that the task is to be offered for.
 func (r *rooms) find(now time.Duration, t *task.Task) (*Holder, *executor.Room) {
-	r.usualPaces(now)
+	usual := r.usualRatio(now, t.Service)
 	draw := int(drawFor(t) % (1 << 30))
 	for rest := r.holders; len(rest) > 0; {
 		n := 1
@@ -134,7 +134,7 @@
 			if !h.offerable(now) {
 				continue
 			}
-			if room := h.fit(t, func(w *executor.Room) bool { return r.tooSlow(now, w, t) }); room != nil {
+			if room := h.fit(now, t, usual); room != nil {
 				return h, room
 			}
 		}
@@ -161,13 +161,12 @@
 // drawFor is a pseudo-random number for an offer of the task.
 func drawFor(t *task.Task) uint64 { return xxhash.Sum64String(t.ID.String()) + uint64(t.Run) }
 
-// fit returns the worker with the tightest fit, of those that are no room for the task by their
-// speed none.
-func (h *Holder) fit(t *task.Task, tooSlow func(w *executor.Room) bool) *executor.Room {
+// fit returns the worker with the tightest fit that isn't too slow.
+func (h *Holder) fit(now time.Duration, t *task.Task, usual usualRatio) *executor.Room {
 	var best *executor.Room
 	for i := range h.Rooms {
 		w := &h.Rooms[i]
-		if !w.Open || w.Service != t.Service || !t.Demand.Fits(w.Free) || slices.Contains(t.Avoid, w.Worker) || tooSlow(w) {
+		if !w.Open || w.Service != t.Service || !t.Demand.Fits(w.Free) || slices.Contains(t.Avoid, w.Worker) || usual.tooSlow(now, w, t) {
 			continue
 		}
 		if best == nil || w.Free.MilliCPU < best.Free.MilliCPU {
@@ -190,9 +189,9 @@
 // wait. The shortest of all would be the choice of all coordinators until its next
 // heartbeat. Nil when no worker may run the task.
 func (r *rooms) queue(now time.Duration, t *task.Task) *Holder {
-	usable := r.holdersFor(now, t, true)
+	usable, fallback := r.holdersFor(now, t)
 	if len(usable) == 0 {
-		usable = r.holdersFor(now, t, false)
+		usable = fallback
 	}
 	n := uint64(len(usable))
 	switch n {
@@ -210,14 +209,23 @@
 	return first
 }
 
-// holdersFor returns the executors with a worker for the task; inTime: one that is fast enough.
-func (r *rooms) holdersFor(now time.Duration, t *task.Task, inTime bool) (list []*Holder) {
+// holdersFor returns the executors with a worker for the task that isn't too slow, and those
+// with any.
+func (r *rooms) holdersFor(now time.Duration, t *task.Task) (inTime, all []*Holder) {
+	usual := r.usualRatio(now, t.Service)
 	for _, h := range r.holders {
-		if h.offerable(now) && r.copies(now, h, t, inTime) > 0 {
-			list = append(list, h)
+		if !h.offerable(now) {
+			continue
+		}
+		fast, n := h.copies(now, t, usual)
+		if fast > 0 {
+			inTime = append(inTime, h)
+		}
+		if n > 0 {
+			all = append(all, h)
 		}
 	}
-	return list
+	return inTime, all
 }
 
 // serves reports whether a worker of the service is known.
@@ -236,21 +244,26 @@
 const maxCopies = 1000
 
 // copies is how many such tasks the executor's workers can run at a time: a part of a
-// worker too small for one task is no room; inTime: nor is a worker that is too slow for it.
-func (r *rooms) copies(now time.Duration, h *Holder, t *task.Task, inTime bool) int {
-	n := 0
+// worker too small for one task is no room. Workers that are too slow are counted in all only.
+func (h *Holder) copies(now time.Duration, t *task.Task, usual usualRatio) (inTime, all int) {
 	for i := range h.Rooms {
 		w := &h.Rooms[i]
-		if w.Usable && w.Service == t.Service && !(inTime && r.tooSlow(now, w, t)) {
-			n += t.Demand.Copies(w.Total, maxCopies)
+		if !w.Usable || w.Service != t.Service {
+			continue
+		}
+		n := t.Demand.Copies(w.Total, maxCopies)
+		all += n
+		if !usual.tooSlow(now, w, t) {
+			inTime += n
 		}
 	}
-	return n
+	return inTime, all
 }
 
 // waitAt is the time for which the work before the task keeps an executor's workers busy.
 func (r *rooms) waitAt(now time.Duration, h *Holder, t *task.Task) time.Duration {
-	return waitFor(t, h.ahead(now, t), r.copies(now, h, t, true))
+	copies, _ := h.copies(now, t, r.usualRatio(now, t.Service))
+	return waitFor(t, h.ahead(now, t), copies)
 }
 
 func (h *Holder) ahead(now time.Duration, t *task.Task) int64 {
@@ -262,12 +275,15 @@
 // to where there is room. copies is how many of them run at a time; 0: no worker may run it.
 // Workers that are too slow for it count only where there are no others.
 func (r *rooms) wait(now time.Duration, t *task.Task) (d time.Duration, copies int) {
-	r.usualPaces(now)
+	usual := r.usualRatio(now, t.Service)
 	ahead, all := int64(0), 0
 	for _, h := range r.holders {
-		if n := r.copies(now, h, t, false); n > 0 && h.offerable(now) {
+		if !h.offerable(now) {
+			continue
+		}
+		if inTime, n := h.copies(now, t, usual); n > 0 {
 			all += n
-			copies += r.copies(now, h, t, true)
+			copies += inTime
 			ahead += h.ahead(now, t)
 		}
 	}
--- a/executor/probe.go
+++ b/executor/probe.go
@@ -13,7 +13,7 @@
 	// probePause is the time after which a slow worker gets a task to see whether it still is
 	// slow; it doubles with each up to maxProbePause, as each may make a job late.
 	probePause    = 500 * time.Millisecond
-	maxProbePause = 2 * time.Second
+	maxProbePause = 4 * time.Second
 	// minProbe is the least time after which a probe's progress is read.
 	minProbe = 40 * time.Millisecond
 	// restartMargin is the time for a stopped run's proof to be read and for its task to be
