--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -20,8 +20,12 @@
 		return
 	}
 	var usable []member.Process
-	for _, h := range c.rooms.holders {
-		if h.Process != t.holder && h.offerable(now) && h.copies(&t.Task) > 0 && !slices.Contains(t.reserved, h.Process) {
+	holders, all := c.rooms.holdersFor(now, &t.Task)
+	if len(holders) == 0 {
+		holders = all
+	}
+	for _, h := range holders {
+		if h.Process != t.holder && !slices.Contains(t.reserved, h.Process) {
 			usable = append(usable, h.Process)
 		}
 	}
