--- a/executor/place.go
+++ b/executor/place.go
@@ -8,14 +8,9 @@
 	"github.com/lavendercleat/lavendercleat/task"
 )
 
-const (
-	// declaredMargin is how many times as long as declared a task is taken to run at most when it
-	// is to be in time on a slow worker: what is declared is off by half.
-	declaredMargin = 1.3
-	// patience is the part of its declared time by which a task may seem late and still wait for
-	// a usual worker rather than start on a slow one, for the same reason.
-	patience = 0.5
-)
+// declaredMargin is how many times as long as declared a task is taken to run at most when it is
+// to be in time on a slow worker: what is declared is off by half.
+const declaredMargin = 1.3
 
 // place returns the open worker for a task: one that it has not failed on, where there is a
 // choice; one on which it will be in time, or else the fastest; and of those the one with the
@@ -79,7 +74,7 @@
 
 // mayWait reports whether a task that starts later on a usual worker may still be on time.
 func mayWait(now time.Duration, t *task.Task) bool {
-	return now+t.Expected <= t.Due+time.Duration(patience*float64(t.Expected))
+	return now+t.Expected <= t.Due
 }
 
 // TooSlow reports whether a worker that takes so many times as long as usual is no room for the
