--- /dev/null
+++ b/share/divide.go
@@ -0,0 +1,54 @@
+package share
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Claim is what somebody asks for.
+type Claim struct {
+	// Demand is in the unit of the capacity. Negative ones and NaN count as none.
+	Demand float64
+	// Weight is the claim's part of short capacity compared with the others'; what isn't above 0
+	// counts as 1.
+	Weight float64
+}
+
+func (c Claim) demand() float64 {
+	if c.Demand > 0 {
+		return c.Demand
+	}
+	return 0
+}
+
+func (c Claim) weight() float64 {
+	if c.Weight > 0 && !math.IsInf(c.Weight, 1) {
+		return c.Weight
+	}
+	return 1
+}
+
+// Divide returns each claim's part of the capacity by weighted max-min: nobody gets more than
+// the demand, and what one leaves is divided among the others by weight. So a claim whose demand
+// is below its weight's part of the capacity gets all of it, whatever the others ask for.
+func Divide(capacity float64, claims []Claim) []float64 {
+	order := make([]int, len(claims))
+	weights := 0.0
+	for i, c := range claims {
+		order[i] = i
+		weights += c.weight()
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(claims[a].demand()/claims[a].weight(), claims[b].demand()/claims[b].weight())
+	})
+	parts := make([]float64, len(claims))
+	left := max(capacity, 0)
+	for _, i := range order {
+		c := claims[i]
+		parts[i] = min(c.demand(), left*c.weight()/weights, left)
+		left -= parts[i]
+		weights -= c.weight()
+	}
+	return parts
+}
