--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -43,11 +43,19 @@
 	returning time.Duration
 }
 
-func (c *Coordinator) pressure(service string) *pressure {
-	p := c.pressures[service]
+// band names the jobs of a service within their shares, or those beyond: the latter wait behind
+// the former, and what either observes says nothing of the other.
+type band struct {
+	service string
+	surplus bool
+}
+
+func (c *Coordinator) pressure(service string, surplus bool) *pressure {
+	b := band{service, surplus}
+	p := c.pressures[b]
 	if p == nil {
 		p = new(pressure)
-		c.pressures[service] = p
+		c.pressures[b] = p
 	}
 	return p
 }
@@ -63,9 +71,9 @@
 		return ReasonNoWorkers, minRetryAfter
 	}
 	if worst > 0 {
-		worst += c.pressure(j.Service).excess.now(now)
+		worst += c.pressure(j.Service, j.surplus).excess.now(now)
 	}
-	if slack := max(j.due-now-longestChain(j.Steps), 0); worst > slack {
+	if slack := c.slack(now, j); worst > slack {
 		return ReasonNoRoom, c.comeBack(now, j, max(worst-slack, minRetryAfter))
 	}
 	return "", 0
@@ -115,7 +123,7 @@
 	for _, s := range j.Steps {
 		work += int64(s.Count) * s.Demand.MilliCPU * s.Expected.Milliseconds() / 1000
 	}
-	p := c.pressure(j.Service)
+	p := c.pressure(j.Service, j.surplus)
 	p.returning = max(p.returning, now+least)
 	after := p.returning - now
 	if cores := c.rooms.share(now, j.Service); cores > 0 {
@@ -137,7 +145,7 @@
 // beganToRun compares the wait of a task that found no room with what was foreseen.
 func (c *Coordinator) beganToRun(now time.Duration, t *jobTask) {
 	if t.waiting {
-		c.pressure(t.Service).excess.observe(now, t.foreseen, now-t.offeredAt)
+		c.pressure(t.Service, t.Surplus).excess.observe(now, t.foreseen, now-t.offeredAt)
 	}
 	t.waiting = false
 	c.unreserve(t)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -80,8 +80,9 @@
 	histories map[string]*history
 	// held: tasks of kept jobs are not offered, as this daemon may have lost its title to them.
 	held bool
-	// pressures is what was observed of the load, by service.
-	pressures map[string]*pressure
+	// pressures is what was observed of the load, by service and band.
+	pressures map[band]*pressure
+	shares    shares
 	// expected is how many workers there are while executors have not told of most; else 0.
 	expected int
 	// undecided are takeovers that wait for news of a task.
@@ -90,7 +91,7 @@
 
 // New returns a coordinator of the given process.
 func New(self member.Process) *Coordinator {
-	return &Coordinator{self: self, jobs: make(map[string]*job), takenOver: make(map[member.Process]map[string]bool), successors: make(map[string]succession), histories: make(map[string]*history), pressures: make(map[string]*pressure)}
+	return &Coordinator{self: self, jobs: make(map[string]*job), takenOver: make(map[member.Process]map[string]bool), successors: make(map[string]succession), histories: make(map[string]*history), pressures: make(map[band]*pressure)}
 }
 
 // Drain returns what the embedder has to carry out since the last call.
@@ -117,6 +118,7 @@
 		c.keep(now, n)
 		return
 	}
+	c.judgeShare(now, n)
 	n.parkedTo = now + min(maxPark, (j.Deadline-now)/4)
 	c.admit(now, n)
 }
@@ -130,7 +132,7 @@
 	switch {
 	case j.parked:
 	case reason != "":
-		c.answer(now, j, Refused, reason, after)
+		c.answer(now, j, Refused, c.refusedFor(j, reason), after)
 	default:
 		c.release(now, j)
 	}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -76,6 +76,8 @@
 const (
 	ReasonNoWorkers Reason = "no_workers"
 	ReasonNoRoom    Reason = "no_room"
+	// ReasonShare: there is no room, and the job is beyond the share of its queue and callers.
+	ReasonShare Reason = "beyond_share"
 	// ReasonRetired: all failure domains that the service has workers in are retired.
 	ReasonRetired    Reason = "domains_retired"
 	ReasonDeadline   Reason = "deadline"
@@ -153,6 +155,8 @@
 	// mayHaveRun is set once a worker may have started a task.
 	mayHaveRun bool
 	ended      bool
+	// surplus: it is beyond the share of its queue and callers.
+	surplus bool
 	// parked jobs wait for a worker until parkedTo.
 	parked   bool
 	parkedTo time.Duration
--- a/coordinator/rebalance.go
+++ b/coordinator/rebalance.go
@@ -26,7 +26,7 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *jobTask) int {
-		return cmp.Or(cmp.Compare(a.Due-a.Expected, b.Due-b.Expected), cmp.Compare(a.ID.String(), b.ID.String()))
+		return cmp.Or(task.CompareBands(&a.Task, &b.Task), cmp.Compare(a.Due-a.Expected, b.Due-b.Expected), cmp.Compare(a.ID.String(), b.ID.String()))
 	})
 	for _, t := range waiting {
 		if h := c.rooms.take(now, &t.Task); h != nil && h.Process != t.holder {
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -19,6 +19,9 @@
 	Process member.Process
 	// Near is the order of preference: 0 for this daemon, 1 for its failure domain, 2 beyond.
 	Near int
+	// Domain is its failure domain, Demands what its callers ask for.
+	Domain  string
+	Demands []Demand
 	// Rooms is what is left on each worker; the coordinator takes off what it offers
 	// until the next word of the executor.
 	Rooms []executor.Room
--- /dev/null
+++ b/coordinator/shares_test.go
@@ -0,0 +1,150 @@
+package coordinator
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/executor"
+)
+
+// crowd drives a coordinator with a worker of four tasks and two queues.
+type crowd struct {
+	*rig
+	submitted int
+}
+
+func newCrowd(t *testing.T) *crowd {
+	c := &crowd{rig: newRig(t)}
+	c.room(4, executor.Backlog{})
+	return c
+}
+
+// room tells of what is left of 4 cores and what waits.
+func (c *crowd) room(free int64, backlog executor.Backlog, peers ...Holder) {
+	c.c.SetHolder(Holder{Process: self, Domain: "a", Rooms: []executor.Room{roomFor("w1", free)}, Backlog: map[string]executor.Backlog{"quotes": backlog}, Heard: c.now})
+	for _, p := range peers {
+		p.Heard = c.now
+		c.c.SetHolder(p)
+	}
+}
+
+// submit hands in a job of one task of 1 core and 100 ms.
+func (c *crowd) submit(queue string) *job {
+	c.submitted++
+	j := testJob(fmt.Sprint(queue, c.submitted), 1)
+	j.Queue, j.Deadline = queue, c.now+4*time.Second
+	c.c.Submit(c.now, j)
+	return c.c.jobs[j.ID]
+}
+
+// usual lets 16 jobs a second of each queue come for some seconds: 3.2 of 4 cores.
+func (c *crowd) usual(queues ...string) {
+	for range 128 {
+		c.now += 62500 * time.Microsecond
+		c.room(4, executor.Backlog{})
+		for _, q := range queues {
+			c.submit(q)
+		}
+	}
+	c.answers = nil
+}
+
+// flood lets a queue's jobs come every 5 ms for a second, without room, and returns the shares of
+// either queue's jobs that are within.
+func (c *crowd) flood(peers ...Holder) map[string]float64 {
+	within := map[string]float64{}
+	for i := range 200 {
+		c.now += 5 * time.Millisecond
+		c.room(0, executor.Backlog{}, peers...)
+		count := func(queue string, part float64) {
+			if j := c.submit(queue); j != nil && !j.surplus {
+				within[queue] += part
+			}
+		}
+		count("busy", 1.0/200)
+		if i%16 == 0 {
+			count("calm", 1.0/13)
+		}
+	}
+	return within
+}
+
+// A flood of one queue for which jobs of another are refused that ask for no more than usual.
+func TestQueueWithinItsShareBesideAFlood(t *testing.T) {
+	c := newCrowd(t)
+	c.usual("busy", "calm")
+	within := c.flood()
+	assert.Assert(t, within["calm"] > 0.9, "%v", within)
+	assert.Assert(t, within["busy"] < 0.25, "%v", within)
+
+	// What waits beyond the shares keeps only such jobs waiting.
+	var surplusWork executor.Backlog
+	surplusWork.Surplus()[0] = 40_000
+	c.room(0, surplusWork)
+	c.drain()
+	c.answers = nil
+	assert.Assert(t, c.submit("calm") != nil)
+	for range 5 {
+		c.submit("busy")
+	}
+	c.drain()
+	assert.Assert(t, len(c.answers) > 0)
+	for _, a := range c.answers {
+		assert.Equal(t, a.Status, Refused)
+		assert.Equal(t, a.Reason, ReasonShare)
+	}
+	busy := c.c.Shares(c.now)[0]
+	assert.Assert(t, busy.Surplus >= busy.Refused && busy.Refused > 0, "%+v", busy)
+	assert.Assert(t, busy.Demand > 5*busy.Share, "%+v", busy)
+}
+
+// Jobs that are held back while there is room for all.
+func TestNothingIsSurplusWhileThereIsRoom(t *testing.T) {
+	c := newCrowd(t)
+	c.usual("busy", "calm")
+	for _, s := range c.c.Shares(c.now) {
+		assert.Equal(t, s.Surplus, uint64(0))
+	}
+}
+
+// A peer that tells nonsense of its callers' demand takes all room from the others, or a part of
+// it still when it is gone.
+func TestAbsurdDemandOfAPeer(t *testing.T) {
+	for _, c := range []struct {
+		name, domain, queue string
+		told                int64
+		least               float64
+	}{
+		{"huge, of another failure domain", "b", "calm", math.MaxInt64, 0.9},
+		{"huge, of the same claim", "a", "calm", math.MaxInt64, 0.4},
+		{"negative", "a", "calm", math.MinInt64, 0.9},
+		{"huge, of a queue that nobody else knows", "b", "nonsense", math.MaxInt64, 0.9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newCrowd(t)
+			r.usual("calm")
+			peer := Holder{Process: peerB, Near: 1, Domain: c.domain, Demands: []Demand{{Service: "quotes", Queue: c.queue, MilliCPU: c.told}}}
+			within := r.flood(peer)
+			assert.Assert(t, within["calm"] > c.least, "%v", within)
+			r.c.HolderLost(r.now, peerB)
+			d := r.c.divide(r.now+divisionAge, "quotes")
+			for _, n := range d.names {
+				assert.Assert(t, d.demands[n] < d.room*10 && n.domain == "a" && n.queue != "nonsense")
+			}
+		})
+	}
+}
+
+// News of demand that a silent peer told long ago.
+func TestOldDemandIsLeftOut(t *testing.T) {
+	c := newCrowd(t)
+	c.room(4, executor.Backlog{}, Holder{Process: peerB, Near: 1, Domain: "b", Demands: []Demand{{Service: "quotes", Queue: "q", MilliCPU: 3000}}})
+	assert.Equal(t, len(c.c.divide(c.now, "quotes").names), 1)
+	c.now += time.Second
+	c.room(4, executor.Backlog{})
+	assert.Equal(t, len(c.c.divide(c.now, "quotes").names), 0)
+}
--- a/executor/backlog.go
+++ b/executor/backlog.go
@@ -6,31 +6,50 @@
 	"github.com/lavendercleat/lavendercleat/task"
 )
 
+// backlogParts is the number of parts of each band of a backlog.
+const backlogParts = len(backlogBounds) + 1
+
 // Backlog is the work that waits for workers of a service, in core-ms, by how soon it has
-// to start to be on time. What has to start later doesn't keep a task waiting.
-type Backlog [len(backlogBounds) + 1]int64
+// to start to be on time. What has to start later doesn't keep a task waiting. Tasks within
+// their shares come first, then the parts of surplus ones, which wait behind all of those.
+type Backlog [2 * backlogParts]int64
 
 // backlogBounds are the bounds between the parts of a backlog: tasks of 50 ms to 1 s that
 // may take 1.6 times their time have to start within 50 ms to 0.7 s of their coming.
 var backlogBounds = [...]time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond}
 
+// Within is the part of the tasks within their shares.
+func (b *Backlog) Within() []int64 { return b[:backlogParts] }
+
+// Surplus is the part of the surplus tasks.
+func (b *Backlog) Surplus() []int64 { return b[backlogParts:] }
+
 // slack is how long the task may wait and still end in time.
 func slack(now time.Duration, t *task.Task) time.Duration { return t.Due - t.Expected - now }
 
 // Add adds a task.
 func (b *Backlog) Add(now time.Duration, t *task.Task) {
-	b[part(slack(now, t))] += t.Demand.MilliCPU * t.Expected.Milliseconds() / 1000
+	b[rank(now, t)] += t.Demand.MilliCPU * t.Expected.Milliseconds() / 1000
 }
 
 // Ahead is the work that is started before the task, if it came now.
 func (b *Backlog) Ahead(now time.Duration, t *task.Task) int64 {
 	var sum int64
-	for _, work := range b[:part(slack(now, t))+1] {
+	for _, work := range b[:rank(now, t)+1] {
 		sum += work
 	}
 	return sum
 }
 
+// rank is the part of a backlog that a task belongs to.
+func rank(now time.Duration, t *task.Task) int {
+	p := part(slack(now, t))
+	if t.Surplus {
+		p += backlogParts
+	}
+	return p
+}
+
 func part(slack time.Duration) int {
 	for i, bound := range backlogBounds {
 		if slack < bound {
--- /dev/null
+++ b/executor/bands_test.go
@@ -0,0 +1,27 @@
+package executor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/capacity"
+	"github.com/lavendercleat/lavendercleat/task"
+)
+
+// A surplus task, however urgent, that keeps one within its share waiting, or is foreseen to.
+func TestSurplusWaitsBehind(t *testing.T) {
+	mk := func(surplus bool, due time.Duration) *task.Task {
+		return &task.Task{Surplus: surplus, Due: due, Expected: 100 * time.Millisecond, Demand: capacity.Vector{MilliCPU: 1000}}
+	}
+	late, soon := mk(false, time.Second), mk(true, 110*time.Millisecond)
+	assert.Assert(t, before(&queued{task: late}, &queued{task: soon}) < 0)
+	assert.Assert(t, before(&queued{task: soon}, &queued{task: late}) > 0)
+	var b Backlog
+	b.Add(0, late)
+	b.Add(0, soon)
+	assert.Equal(t, b.Ahead(0, late), int64(100))
+	assert.Equal(t, b.Ahead(0, soon), int64(200))
+	assert.Equal(t, b.Ahead(0, mk(false, 110*time.Millisecond)), int64(0))
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -161,10 +161,10 @@
 	e.report(q.owner, r)
 }
 
-// before orders the queue: tasks that have to start soonest go first, and among equals
-// the more urgent queue.
+// before orders the queue: tasks within their shares go first, of those the ones that have to
+// start soonest, and among equals the more urgent queue.
 func before(a, b *queued) int {
-	return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.since, b.since), cmp.Compare(a.task.ID.String(), b.task.ID.String()))
+	return cmp.Or(task.CompareBands(a.task, b.task), cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.since, b.since), cmp.Compare(a.task.ID.String(), b.task.ID.String()))
 }
 
 // urgency is the latest start that keeps the job on time; a step of priority counts as
--- a/internal/mesh/pulse.go
+++ b/internal/mesh/pulse.go
@@ -36,10 +36,11 @@
 	built  time.Time
 	// number counts the heartbeats; at each, one of the following may be set to it.
 	number uint64
-	// workersAt, peersAt and domainsAt are when the list of workers, that of peers and the
-	// words on failure domains last changed, roomsAt when each of the rooms did.
-	workersAt, peersAt, domainsAt uint64
-	roomsAt                       []uint64
+	// workersAt, peersAt, domainsAt and demandsAt are when the list of workers, that of peers,
+	// the words on failure domains and what callers ask for last changed, roomsAt when each of
+	// the rooms did.
+	workersAt, peersAt, domainsAt, demandsAt uint64
+	roomsAt                                  []uint64
 	// peersTold is when peersAt was last set.
 	peersTold time.Time
 	// encoded holds the latest heartbeat for links by what they have written before.
@@ -90,6 +91,7 @@
 	if c.number == 1 || !sameDomains(before.Domains, p.Domains) {
 		c.domainsAt = c.number
 	}
+	c.takeDemands(before.Demands, p)
 	c.latest, c.built, c.encoded = p, now, make(map[uint64][]byte)
 }
 
@@ -107,6 +109,9 @@
 	if has < c.domainsAt {
 		p.Domains = l.Domains
 	}
+	if has < c.demandsAt {
+		p.Demands = l.Demands
+	}
 	if has < c.workersAt {
 		p.Rooms = l.Rooms
 		return p
@@ -180,7 +185,10 @@
 }
 
 // heard is what has been told on one connection.
-type heard struct{ rooms []*schema.Room }
+type heard struct {
+	rooms   []*schema.Room
+	demands []*schema.Demand
+}
 
 // errUnknownRoom: an update is for a room that was not told on this connection.
 var errUnknownRoom = errors.New("update of a room that was not told")
@@ -188,6 +196,7 @@
 // complete adds to a heartbeat what it leaves out as told before. The rooms are those of
 // the connection and change with its next heartbeat.
 func (h *heard) complete(p *schema.Pulse) error {
+	h.completeDemands(p)
 	if !p.GetSameWorkers() {
 		h.rooms = p.GetRooms()
 		return nil
--- a/internal/mesh/pulse_test.go
+++ b/internal/mesh/pulse_test.go
@@ -66,6 +66,10 @@
 		}
 	}
 	switch c.rng.IntN(8) {
+	case 4:
+		p.Demands = nil
+	case 5:
+		p.Demands = []*schema.Demand{{Service: "s", Queue: "q", MilliCpu: c.rng.Int64N(64000)}}
 	case 3:
 		p.Domains = []*schema.DomainWord{{Domain: "a", Revision: c.rng.Int64(), Retired: c.rng.IntN(2) == 0}}
 	case 0:
--- a/internal/node/convert.go
+++ b/internal/node/convert.go
@@ -44,7 +44,7 @@
 			MilliCpu: t.Demand.MilliCPU, MemoryMb: t.Demand.MemoryMB, Gpus: t.Demand.GPUs,
 			Priority: int32(t.Priority), ExpectedMs: t.Expected.Milliseconds(),
 			StartByMs: (t.StartBy - now).Milliseconds(), DueMs: (t.Due - now).Milliseconds(), Avoid: t.Avoid,
-			Kept: t.Kept, PerWorker: uint32(t.PerWorker), OnlyNow: t.OnlyNow, Queue: t.Queue,
+			Kept: t.Kept, PerWorker: uint32(t.PerWorker), OnlyNow: t.OnlyNow, Queue: t.Queue, Surplus: t.Surplus,
 		}
 	}
 	return out
@@ -58,7 +58,7 @@
 			Demand:   capacity.Vector{MilliCPU: t.GetMilliCpu(), MemoryMB: t.GetMemoryMb(), GPUs: t.GetGpus()},
 			Priority: int(t.GetPriority()), Expected: ms(t.GetExpectedMs()),
 			StartBy: now + ms(t.GetStartByMs()), Due: now + ms(t.GetDueMs()), Avoid: t.GetAvoid(),
-			Kept: t.GetKept(), PerWorker: int(t.GetPerWorker()), OnlyNow: t.GetOnlyNow(), Queue: t.GetQueue(),
+			Kept: t.GetKept(), PerWorker: int(t.GetPerWorker()), OnlyNow: t.GetOnlyNow(), Queue: t.GetQueue(), Surplus: t.GetSurplus(),
 		}
 	}
 	return out
@@ -147,7 +147,7 @@
 func holderFromPulse(p member.Process, near int, pulse *schema.Pulse) coordinator.Holder {
 	h := coordinator.Holder{
 		Process: p, Near: near, Leaving: pulse.GetLeaving() || !pulse.GetServing(),
-		Backlog: make(map[string]executor.Backlog), Interval: ms(pulse.GetNextMs()),
+		Backlog: make(map[string]executor.Backlog), Interval: ms(pulse.GetNextMs()), Demands: demandsFromPulse(pulse),
 		Rooms: make([]executor.Room, 0, len(pulse.GetRooms())),
 	}
 	for _, r := range pulse.GetRooms() {
@@ -159,7 +159,8 @@
 	}
 	for _, b := range pulse.GetBacklogs() {
 		var work executor.Backlog
-		copy(work[:], b.GetCoreMs())
+		copy(work.Within(), b.GetCoreMs())
+		copy(work.Surplus(), b.GetSurplusCoreMs())
 		h.Backlog[b.GetService()] = work
 	}
 	return h
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -246,7 +246,7 @@
 // ownHolder is what this daemon's executor has left.
 func (n *Node) ownHolder(now time.Duration) coordinator.Holder {
 	return coordinator.Holder{
-		Process: n.self.Process, Rooms: n.executor.Rooms(now), Backlog: n.executor.Backlog(now), Heard: now,
+		Process: n.self.Process, Domain: n.self.Domain, Rooms: n.executor.Rooms(now), Backlog: n.executor.Backlog(now), Heard: now,
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -135,8 +135,9 @@
 		})
 	}
 	for service, work := range n.executor.Backlog(now) {
-		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: work[:]})
+		p.Backlogs = append(p.Backlogs, &schema.Backlog{Service: service, CoreMs: work.Within(), SurplusCoreMs: surplusToWire(work.Surplus())})
 	}
+	n.tellShares(now, p)
 	p.Pending = n.ownPending()
 	p.Domains = domainsToWire(n.fleet.retirements.List())
 	n.fleet.relay.tell(now, p)
@@ -166,7 +167,7 @@
 	}
 	holder := holderFromPulse(p.Process, near, pulse)
 	n.fleet.locate(holder.Rooms)
-	holder.Heard = n.clock.now()
+	holder.Heard, holder.Domain = n.clock.now(), p.Domain
 	n.coordinator.SetHolder(holder)
 	if n.fleet.pulsed(holder.Heard, p, pulse) {
 		n.reassign()
--- a/task/task.go
+++ b/task/task.go
@@ -55,6 +55,21 @@
 	PerWorker int
 	// OnlyNow: the task is given back at once unless it can start now.
 	OnlyNow bool
+	// Surplus tasks are of jobs beyond the share of their queue and callers: they wait behind
+	// those within theirs.
+	Surplus bool
+}
+
+// CompareBands puts tasks within their shares before surplus ones.
+func CompareBands(a, b *Task) int {
+	switch {
+	case a.Surplus == b.Surplus:
+		return 0
+	case b.Surplus:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // RunRef names one run of a task.
--- /dev/null
+++ b/test/policy/shares_test.go
@@ -0,0 +1,79 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// tolerated is how much less of what is owed a claim within its share may earn beside a burst
+// of another than alone: callers can't tell it from an ordinary day's spread.
+const tolerated = 0.03
+
+// shareSeeds is how often these loads are played: a claim is a part of the jobs only.
+const shareSeeds = 6
+
+// byClaim plays a load and returns the mean credit of all, each kind and each domain's callers.
+func byClaim(l load) map[string]float64 {
+	mean := make(map[string]float64)
+	for seed := range uint64(shareSeeds) {
+		f := play(l, seed)
+		mean["all"] += f.credit / shareSeeds
+		for _, group := range []map[string]*figures{f.byKind, f.byDomain} {
+			for name, g := range group {
+				mean[name] += g.credit / shareSeeds
+			}
+		}
+	}
+	return mean
+}
+
+func inBurst(at time.Duration) bool { return at > 5*time.Second && at < 12*time.Second }
+
+// A burst of one kind of request, or of one failure domain's callers, that is paid for by the
+// others: together they asked for more than there is, and the first who came got it.
+func TestOthersAreServedAsIfAlone(t *testing.T) {
+	t.Parallel()
+	alone := byClaim(fourDomains(load75))
+	kind := func(times float64) load {
+		l := fourDomains(load75)
+		l.kindRate = func(kind string, at time.Duration) float64 {
+			if kind == "short" && inBurst(at) {
+				return times
+			}
+			return 1
+		}
+		return l
+	}
+	domain := fourDomains(load75)
+	domain.domainRate = func(domain string, at time.Duration) float64 {
+		if domain == "z0" && inBurst(at) {
+			return 4
+		}
+		return 1
+	}
+	for _, c := range []struct {
+		name   string
+		load   load
+		others []string
+		// least is what all earn: shares must not cost more than the worth that the burst claims for
+		// itself by the room of the others.
+		least float64
+	}{
+		{"one kind at 1.5 times", kind(1.5), []string{"long", "pairs"}, 0.97},
+		{"one kind at 3 times", kind(3), []string{"long", "pairs"}, 0.915},
+		{"one kind at 5 times", kind(5), []string{"long", "pairs"}, 0.771},
+		{"one domain at 4 times", domain, []string{"z1", "z2", "z3"}, 0.844},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			got := byClaim(c.load)
+			t.Log(got)
+			for _, o := range c.others {
+				assert.Assert(t, got[o] > alone[o]-tolerated, "%s: %.3f, %.3f alone", o, got[o], alone[o])
+			}
+			assert.Assert(t, got["all"] > c.least)
+		})
+	}
+}
