--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -159,6 +159,7 @@
 		}
 		t.StartBy = now + keptOfferTime
 	}
+	t.Surplus = j.surplus && !j.mayHaveRun // what has begun is finished, or the work is lost
 	h, hasRoom := c.target(now, t)
 	switch {
 	case h == nil && j.Kept:
--- a/coordinator/shares.go
+++ b/coordinator/shares.go
@@ -14,7 +14,7 @@
 const (
 	// committedPart is the part of the room that is divided among claims. Were all of it
 	// promised, those within their shares would wait as long as in any full fleet.
-	committedPart = 0.8
+	committedPart = 0.87
 	// impatientAt is the demand, as a part of the room, from which on surplus jobs don't wait for
 	// room at all. Below it down to committedPart they may wait for ever more of their time. What
 	// waits takes each free worker at once, and jobs within their shares would have to queue too.
