--- a/coordinator/shares_test.go
+++ b/coordinator/shares_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lavendercleat/lavendercleat/executor"
+	"github.com/lavendercleat/lavendercleat/task"
 )
 
 // crowd drives a coordinator with a worker of four tasks and two queues.
@@ -102,6 +103,24 @@
 	assert.Assert(t, busy.Demand > 5*busy.Share, "%+v", busy)
 }
 
+// Tasks of a surplus job that wait behind all others when the rest of it has begun: what has run
+// is of no use without them.
+func TestSurplusJobThatHasBegunIsFinished(t *testing.T) {
+	c := newCrowd(t)
+	c.room(2, executor.Backlog{})
+	j := testJob("job", 2)
+	c.c.Submit(c.now, j)
+	job := c.c.jobs["job"]
+	job.surplus = true
+	first := c.offers(self)
+	assert.Equal(t, len(first), 2)
+	c.c.Reported(c.now, self, task.Report{ID: first[0].ID, Run: first[0].Run, Outcome: task.NotRun, Reason: executor.ReasonTaken})
+	assert.Assert(t, c.offers(self)[0].Surplus)
+	c.c.Reported(c.now, self, task.Report{ID: first[1].ID, Run: first[1].Run, Outcome: task.Started, Worker: "w1"})
+	c.c.Reported(c.now, self, task.Report{ID: first[0].ID, Run: first[0].Run + 1, Outcome: task.NotRun, Reason: executor.ReasonReclaimed})
+	assert.Assert(t, !c.offers(self)[0].Surplus)
+}
+
 // Jobs that are held back while there is room for all.
 func TestNothingIsSurplusWhileThereIsRoom(t *testing.T) {
 	c := newCrowd(t)
