--- a/coordinator/shares_test.go
+++ b/coordinator/shares_test.go
@@ -112,6 +112,9 @@
 	c.c.Submit(c.now, j)
 	job := c.c.jobs["job"]
 	job.surplus = true
+	for _, t := range job.tasks {
+		t.Surplus = true
+	}
 	first := c.offers(self)
 	assert.Equal(t, len(first), 2)
 	c.c.Reported(c.now, self, task.Report{ID: first[0].ID, Run: first[0].Run, Outcome: task.NotRun, Reason: executor.ReasonTaken})
