--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -251,7 +251,7 @@
 	// coordinator keeps only what it was told last.
 	n.ownRooms = n.executor.AppendRooms(n.ownRooms[:0], now)
 	return coordinator.Holder{
-		Process: n.self.Process, Rooms: n.ownRooms, Backlog: n.executor.Backlog(now), Heard: now,
+		Process: n.self.Process, Domain: n.self.Domain, Rooms: n.ownRooms, Backlog: n.executor.Backlog(now), Heard: now,
 	}
 }
 
