--- /dev/null
+++ b/test/policy/room_test.go
@@ -0,0 +1,85 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavendercleat/lavendercleat/coordinator"
+)
+
+// room is what refused jobs could have had.
+type room struct {
+	// withRoom counts refused jobs all of whose tasks would have fitted on workers that
+	// were free at that moment, whoever held them.
+	withRoom int
+	// byPath counts refused jobs by how: at once, or after their tasks were offered.
+	atOnce, later int
+}
+
+// noteRefused looks for room for a refused job.
+func (m *model) noteRefused(j *job, a coordinator.Answer) {
+	if a.Waited == 0 {
+		j.refusedAtOnce = true
+	}
+	j.hadRoom = m.fits(j)
+}
+
+// fits reports whether all tasks of a job fit on workers now, the largest rests last.
+func (m *model) fits(j *job) bool {
+	var free []int64
+	for _, w := range m.workers {
+		if !w.info.Draining {
+			free = append(free, w.info.Capacity.MilliCPU-w.used)
+		}
+	}
+	slices.Sort(free)
+	for range j.work {
+		at, _ := slices.BinarySearch(free, j.demand)
+		if at == len(free) {
+			return false
+		}
+		rest := free[at] - j.demand
+		free = slices.Delete(free, at, at+1)
+		at, _ = slices.BinarySearch(free, rest)
+		free = slices.Insert(free, at, rest)
+	}
+	return true
+}
+
+// competing is short room that callers compete for: one kind's callers come five times as
+// often for five seconds, then one failure domain's four times, then all twice as often.
+func competing(l load) load {
+	between := func(at time.Duration, from, to float64) bool {
+		return at.Seconds() >= from && at.Seconds() < to
+	}
+	l.kindRate = func(kind string, at time.Duration) float64 {
+		if kind == "short" && between(at, 3, 8) {
+			return 5
+		}
+		return 1
+	}
+	l.domainRate = func(domain string, at time.Duration) float64 {
+		if domain == "z0" && between(at, 10, 15) {
+			return 4
+		}
+		return 1
+	}
+	l.rate = func(at time.Duration) float64 {
+		if between(at, 17, 25) {
+			return 2
+		}
+		return 1
+	}
+	l.length = 28 * time.Second
+	return l
+}
+
+// manyDaemons is a fleet of daemons of unequal strength whose workers take one or two of most
+// tasks: two of eight in each failure domain hold the workers, and news of them are older.
+func manyDaemons(perSecond float64) load {
+	return load{domains: 4, daemonsEach: 8, workersEach: 22, strong: 2, heartbeat: 200 * time.Millisecond, kinds: []kind{
+		{"short", 0.244 * perSecond, 8, 60 * time.Millisecond, 16000, 0, 0.00485},
+		{"long", 0.0444 * perSecond, 4, 900 * time.Millisecond, 16000, 2, 0.0267},
+		{"pairs", 0.711 * perSecond, 2, 200 * time.Millisecond, 16000, 1, 0.00167},
+	}, length: 20 * time.Second}
+}
