--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -1,44 +1,19 @@
 package coordinator
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
-	// excessGain is the weight of one observed wait. The larger it is, the sooner a burst is
-	// answered by refusals, and the more a single slow worker brings about: 0.1 to 0.3 made no
-	// difference of more than 0.01 of the credit at 100% load, 0.03 at 125%.
-	excessGain = 0.2
-	// excessMemory is the time in which the excess falls to a third without observations. A
-	// fleet that refuses most jobs observes little, and has to try again soon.
-	excessMemory = 500 * time.Millisecond
-	// maxExcess bounds one observation: a task may wait seconds for a worker that has died.
-	maxExcess = 300 * time.Millisecond
+	// lastTask is by how many times the last of a job's tasks is foreseen to wait as long as
+	// the work before it lasts. Of several tasks one waits longer than the others, more urgent
+	// ones come after it, and the sizes of tasks leave a part of the room unused.
+	lastTask = 1.5
+	// unsureShare is the part of a job's time, from its coming until it is due, for which it is
+	// parked while it is unsure whether it can be served in time.
+	unsureShare = 6
 )
 
-// excess is by how much tasks that find no room wait longer than is foreseen from what
-// executors told of their backlogs. What they told is up to a heartbeat old, and does not
-// show slow workers. In overload all coordinators would go on taking jobs that end too late
-// to be of use, and late jobs take the room of others. The zero value is ready for use.
-type excess struct {
-	mean time.Duration
-	at   time.Duration
-}
-
-func (e *excess) now(now time.Duration) time.Duration {
-	return time.Duration(float64(e.mean) * math.Exp(-float64(now-e.at)/float64(excessMemory)))
-}
-
-func (e *excess) observe(now, foreseen, waited time.Duration) {
-	mean := e.now(now)
-	mean += time.Duration(excessGain * float64(min(waited-foreseen, maxExcess)-mean))
-	e.mean, e.at = max(mean, 0), now
-}
-
-// pressure is what a coordinator has observed of the load on a service.
+// pressure is what a coordinator has done about the load on a service.
 type pressure struct {
-	excess excess
 	// returning is when the last refused caller was told to come back.
 	returning time.Duration
 }
@@ -60,23 +35,56 @@
 	return p
 }
 
-// refusal decides whether a job can't be served in time. While there is room for its first
+// judgement is whether a job is taken: the zero value is, without a doubt.
+type judgement struct {
+	reason Reason
+	// late is by how much it would be late.
+	late time.Duration
+	// unsure: by the mean wait it would be in time.
+	unsure bool
+}
+
+// judge decides whether a job can't be served in time. While there is room for its first
 // tasks it is never refused.
-func (c *Coordinator) refusal(now time.Duration, j *job) (Reason, time.Duration) {
-	worst, ok := c.wait(now, j)
+func (c *Coordinator) judge(now time.Duration, j *job) judgement {
+	wait, ok := c.wait(now, j)
 	if !ok && c.rooms.allRetired(now, j.Service) && !c.assembling(now) {
-		return ReasonRetired, retiredRetryAfter
+		return judgement{reason: ReasonRetired}
 	}
 	if !ok {
-		return ReasonNoWorkers, minRetryAfter
+		return judgement{reason: ReasonNoWorkers}
 	}
-	if worst > 0 {
-		worst += c.pressure(j.Service, j.surplus).excess.now(now)
+	slack := c.slack(now, j)
+	late := time.Duration(lastTask*float64(wait)) - slack
+	// What was parked as unsure has less time left: only room will do.
+	if late > 0 || j.unsure && wait > 0 {
+		return judgement{ReasonNoRoom, late, wait <= slack}
 	}
-	if slack := c.slack(now, j); worst > slack {
-		return ReasonNoRoom, c.comeBack(now, j, max(worst-slack, minRetryAfter))
+	return judgement{}
+}
+
+// parks reports whether a job waits for news instead of being refused: without any worker, or
+// while most are not known yet, and while it is unsure. An unsure job is not offered, as then
+// its tasks would wait among those of jobs that can be in time; executors tell of room several
+// times while it is parked, and it is refused early enough for its caller to go elsewhere.
+func (c *Coordinator) parks(now time.Duration, j *job, v judgement) bool {
+	if v.reason == ReasonNoWorkers || v.reason == ReasonNoRoom && c.assembling(now) {
+		return now < j.parkedTo
+	}
+	j.unsure = j.unsure || v.unsure
+	return v.unsure && now < j.began+(j.due-j.began)/unsureShare
+}
+
+// retryAfter is when the caller of a job that is refused may come back.
+func (c *Coordinator) retryAfter(now time.Duration, j *job, v judgement) time.Duration {
+	switch v.reason {
+	case ReasonRetired:
+		return retiredRetryAfter
+	case ReasonNoRoom:
+		return c.comeBack(now, j, max(v.late, minRetryAfter))
+	default:
+		return minRetryAfter
 	}
-	return "", 0
 }
 
 // wideShare is the part of a service's room above which a step counts as wide: it can't
@@ -133,20 +141,8 @@
 	return after
 }
 
-// noteWait notes when a task was offered first, and how long it was to wait.
-func (c *Coordinator) noteWait(now time.Duration, t *jobTask, hasRoom bool) {
-	if t.offers == 0 {
-		t.offeredAt = now
-		t.foreseen, _ = c.rooms.wait(now, &t.Task)
-	}
-	t.waiting, t.reclaiming = !hasRoom, false
-}
-
-// beganToRun compares the wait of a task that found no room with what was foreseen.
-func (c *Coordinator) beganToRun(now time.Duration, t *jobTask) {
-	if t.waiting {
-		c.pressure(t.Service, t.Surplus).excess.observe(now, t.foreseen, now-t.offeredAt)
-	}
+// beganToRun notes that a task has found room.
+func (c *Coordinator) beganToRun(t *jobTask) {
 	t.waiting = false
 	c.unreserve(t)
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -123,16 +123,15 @@
 	c.admit(now, n)
 }
 
-// admit releases a job or refuses it. Without any worker, or while most are not known yet,
-// it is parked for a moment: after a restart of the fleet workers are taken over within
-// some hundred ms, and a refused caller doesn't come back.
+// admit releases a job, refuses it, or parks it for a moment: after a restart of the fleet workers
+// are taken over within some hundred ms, and a refused caller doesn't come back.
 func (c *Coordinator) admit(now time.Duration, j *job) {
-	reason, after := c.refusal(now, j)
-	j.parked = now < j.parkedTo && (reason == ReasonNoWorkers || reason == ReasonNoRoom && c.assembling(now))
+	v := c.judge(now, j)
+	j.parked = c.parks(now, j, v)
 	switch {
 	case j.parked:
-	case reason != "":
-		c.answer(now, j, Refused, c.refusedFor(j, reason), after)
+	case v.reason != "":
+		c.answer(now, j, Refused, c.refusedFor(j, v.reason), c.retryAfter(now, j, v))
 	default:
 		c.release(now, j)
 	}
@@ -172,7 +171,7 @@
 		c.giveUp(now, j, ReasonNoRoom)
 		return
 	}
-	c.noteWait(now, t, hasRoom)
+	t.waiting, t.reclaiming = !hasRoom, false
 	t.Run++
 	t.offers++
 	t.OnlyNow = hasRoom && t.offers <= maxRoomOffers && !j.Kept
@@ -224,7 +223,7 @@
 	case task.Started:
 		c.begun(j)
 		j.mayHaveRun, t.worker = true, r.Worker
-		c.beganToRun(now, t)
+		c.beganToRun(t)
 	case task.Done:
 		c.taskDone(now, j, t)
 	case task.Failed:
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -125,8 +125,6 @@
 	worker string
 	// waiting: it was offered without room for it; reclaiming: it was asked for back.
 	waiting, reclaiming bool
-	// offeredAt is when it was first offered, foreseen how long it was to wait then.
-	offeredAt, foreseen time.Duration
 	// failures counts runs that failed, offers all tries.
 	failures, offers int
 	// crashes counts runs that ended as their worker went down.
@@ -160,6 +158,8 @@
 	// parked jobs wait for a worker until parkedTo.
 	parked   bool
 	parkedTo time.Duration
+	// unsure: it was parked as it may yet be served in time.
+	unsure bool
 	// recallAt is when executors are asked again for the lost tasks of a kept job.
 	recallAt time.Duration
 }
--- a/test/policy/load_test.go
+++ b/test/policy/load_test.go
@@ -49,6 +49,8 @@
 		f.onTime += g.onTime
 		f.late += g.late
 		f.refused += g.refused
+		f.refusedWithRoom += g.refusedWithRoom
+		f.refusedAtOnce += g.refusedAtOnce
 		f.failed += g.failed
 		f.credit += g.credit / seeds
 		f.useless += g.useless / seeds
@@ -82,8 +84,8 @@
 }
 
 // Callers ask for a quarter more than there is. Who can't be served in time is refused at
-// once; who is taken is mostly served in time, and few are held in vain. Without the observed excess
-// a third of the jobs came late, and those that were late made others so.
+// once; who is taken is mostly served in time, and few are held in vain. By the mean
+// wait alone a third of the jobs came late, and those that were late made others so.
 func TestOverloadIsRefusedSoon(t *testing.T) {
 	t.Parallel()
 	l := fourDomains(load125)
