--- a/executor/answers.go
+++ b/executor/answers.go
@@ -221,6 +221,7 @@
 		return
 	default:
 		w.silent++
+		w.missedAt = now
 		if w.silent == 1 {
 			e.event("worker_silent", w, nil, a.Verdict.String())
 		}
--- a/executor/speed.go
+++ b/executor/speed.go
@@ -142,7 +142,11 @@
 }
 
 // ran notes how long a run took that this executor started and that ended well.
+// What ended while polls got no answers is listed late, which says nothing of the worker's pace.
 func (e *Executor) ran(now time.Duration, w *worker, r *run) {
+	if w.missedAt >= r.began {
+		return
+	}
 	if r.seen {
 		// It may have run at two paces; the last one counts.
 		if s, ok := r.window(now, now-r.lastMark, 100); ok {
--- a/executor/suspect_test.go
+++ b/executor/suspect_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// Polls of a worker are lost, and the ends of its runs are read a second late. It isn't slow by that.
+func TestLateNewsIsNoSlowWorker(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1", "w2")
+	r.e.SetUsual(map[string]float64{"quotes": 1})
+	r.on("w1", "a", 0)
+	r.on("w1", "b", 0)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: Unknown})
+	r.pass(700 * time.Millisecond)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(1, testTask("a", 0).ID, 1, "done"), endOf(2, testTask("b", 0).ID, 1, "done")}})
+	assert.Equal(t, r.slowness("w1"), 1.0)
+	assert.Equal(t, r.e.workers["w1"].pace.runs, 0)
+}
+
 // told makes an executor take over what was told of its workers, ago.
 func (r *rig) told(ratios map[string]float64, ago time.Duration) {
 	r.e.SetUsual(map[string]float64{"quotes": 1})
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -118,6 +118,8 @@
 	listedAt time.Duration
 	// silent counts polls in a row without an answer.
 	silent int
+	// missedAt is when a poll last got no answer.
+	missedAt time.Duration
 	// suspect: a start got no answer and no list has been read since.
 	suspect bool
 	// pausedUntil closes the worker for new runs; pause is the length of the last pause.
