--- a/executor/place.go
+++ b/executor/place.go
@@ -103,7 +103,7 @@
 		return true
 	}
 	deadline := t.StartBy + t.Expected/2
-	return !t.Kept && now+time.Duration(slowness*float64(t.Expected)) > deadline && e.faster(now, t)
+	return !t.Kept && now+time.Duration(declaredMargin*slowness*float64(t.Expected)) > deadline && e.faster(now, t)
 }
 
 // faster reports whether a worker in use would run the task as usual.
