--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -14,14 +14,21 @@
 // of many. Each costs a place in a message there, and another to drop it.
 const reservations = 2
 
+// EventMoves is the name of the event of a task that is asked back for reserved room.
+const EventMoves = "task_moves"
+
 // reserve asks other executors to tell of room for a task that waits at one.
 func (c *Coordinator) reserve(now time.Duration, t *jobTask) {
 	if t.Kept {
 		return
 	}
 	var usable []member.Process
-	for _, h := range c.rooms.holders {
-		if h.Process != t.holder && h.offerable(now) && h.copies(&t.Task) > 0 && !slices.Contains(t.reserved, h.Process) {
+	holders, all := c.rooms.holdersFor(now, &t.Task)
+	if len(holders) == 0 {
+		holders = all
+	}
+	for _, h := range holders {
+		if h.Process != t.holder && !slices.Contains(t.reserved, h.Process) {
 			usable = append(usable, h.Process)
 		}
 	}
@@ -80,7 +87,7 @@
 		return
 	}
 	t.reclaiming, t.movesTo = true, from
-	c.event("task_moves", t, fmt.Sprintf("from=%s to=%s", t.holder.Address, from.Address))
+	c.event(EventMoves, t, fmt.Sprintf("from=%s to=%s", t.holder.Address, from.Address))
 	c.reclaim(t)
 }
 
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -33,6 +33,23 @@
 	Heard time.Duration
 	// Interval is the time after which its next word is due; 0: 100 ms.
 	Interval time.Duration
+	counted  counted
+}
+
+// counted is how many tasks of a kind an executor's workers can run at a time, as it was asked
+// last: the tasks of a job are alike, and each asks it of all executors several times.
+type counted struct {
+	key         countKey
+	inTime, all int
+}
+
+// countKey is what the count depends on beside the rooms.
+type countKey struct {
+	service       string
+	demand        capacity.Vector
+	usual         usualRatio
+	now           time.Duration
+	due, expected time.Duration
 }
 
 const (
@@ -54,6 +71,7 @@
 	holders []*Holder
 	// retired are the failure domains whose workers get no new runs.
 	retired map[string]bool
+	paces   paces
 }
 
 func (r *rooms) set(h Holder) {
@@ -67,7 +85,7 @@
 
 // clone returns a copy for trying out where tasks would go.
 func (r *rooms) clone() *rooms {
-	c := &rooms{holders: make([]*Holder, len(r.holders)), retired: r.retired}
+	c := &rooms{holders: make([]*Holder, len(r.holders)), retired: r.retired, paces: r.paces}
 	for i, h := range r.holders {
 		n := *h
 		n.Rooms, n.Backlog = slices.Clone(h.Rooms), maps.Clone(h.Backlog)
@@ -124,6 +142,7 @@
 
 // find returns the executor and the worker that the task is to be offered for.
 func (r *rooms) find(now time.Duration, t *task.Task) (*Holder, *executor.Room) {
+	usual := r.usualRatio(now, t.Service)
 	draw := int(drawFor(t) % (1 << 30))
 	for rest := r.holders; len(rest) > 0; {
 		n := 1
@@ -135,7 +154,7 @@
 			if !h.offerable(now) {
 				continue
 			}
-			if room := h.fit(t); room != nil {
+			if room := h.fit(now, t, usual); room != nil {
 				return h, room
 			}
 		}
@@ -162,11 +181,12 @@
 // drawFor is a pseudo-random number for an offer of the task.
 func drawFor(t *task.Task) uint64 { return xxhash.Sum64String(t.ID.String()) + uint64(t.Run) }
 
-func (h *Holder) fit(t *task.Task) *executor.Room {
+// fit returns the worker with the tightest fit that isn't too slow.
+func (h *Holder) fit(now time.Duration, t *task.Task, usual usualRatio) *executor.Room {
 	var best *executor.Room
 	for i := range h.Rooms {
 		w := &h.Rooms[i]
-		if !w.Open || w.Service != t.Service || !t.Demand.Fits(w.Free) || slices.Contains(t.Avoid, w.Worker) {
+		if !w.Open || w.Service != t.Service || !t.Demand.Fits(w.Free) || slices.Contains(t.Avoid, w.Worker) || usual.tooSlow(now, w, t) {
 			continue
 		}
 		if best == nil || w.Free.MilliCPU < best.Free.MilliCPU {
@@ -189,11 +209,9 @@
 // wait. The shortest of all would be the choice of all coordinators until its next
 // heartbeat. Nil when no worker may run the task.
 func (r *rooms) queue(now time.Duration, t *task.Task) *Holder {
-	var usable []*Holder
-	for _, h := range r.holders {
-		if h.offerable(now) && h.copies(t) > 0 {
-			usable = append(usable, h)
-		}
+	usable, fallback := r.holdersFor(now, t)
+	if len(usable) == 0 {
+		usable = fallback
 	}
 	n := uint64(len(usable))
 	switch n {
@@ -205,12 +223,31 @@
 	draw := drawFor(t)
 	first := usable[draw%n]
 	second := usable[(draw%n+1+(draw>>32)%(n-1))%n]
-	if second.wait(now, t) < first.wait(now, t) {
+	if r.waitAt(now, second, t) < r.waitAt(now, first, t) {
 		return second
 	}
 	return first
 }
 
+// holdersFor returns the executors with a worker for the task that isn't too slow, and those
+// with any.
+func (r *rooms) holdersFor(now time.Duration, t *task.Task) (inTime, all []*Holder) {
+	usual := r.usualRatio(now, t.Service)
+	for _, h := range r.holders {
+		if !h.offerable(now) {
+			continue
+		}
+		fast, n := h.copies(now, t, usual)
+		if fast > 0 {
+			inTime = append(inTime, h)
+		}
+		if n > 0 {
+			all = append(all, h)
+		}
+	}
+	return inTime, all
+}
+
 // serves reports whether a worker of the service is known.
 func (r *rooms) serves(service string) bool {
 	for _, h := range r.holders {
@@ -227,20 +264,31 @@
 const maxCopies = 1000
 
 // copies is how many such tasks the executor's workers can run at a time: a part of a
-// worker too small for one task is no room.
-func (h *Holder) copies(t *task.Task) int {
-	n := 0
-	for _, r := range h.Rooms {
-		if r.Usable && r.Service == t.Service {
-			n += t.Demand.Copies(r.Total, maxCopies)
+// worker too small for one task is no room. Workers that are too slow are counted in all only.
+func (h *Holder) copies(now time.Duration, t *task.Task, usual usualRatio) (inTime, all int) {
+	k := countKey{t.Service, t.Demand, usual, now, t.Due, t.Expected}
+	if h.counted.key == k {
+		return h.counted.inTime, h.counted.all
+	}
+	for i := range h.Rooms {
+		w := &h.Rooms[i]
+		if !w.Usable || w.Service != t.Service {
+			continue
+		}
+		n := t.Demand.Copies(w.Total, maxCopies)
+		all += n
+		if !usual.tooSlow(now, w, t) {
+			inTime += n
 		}
 	}
-	return n
+	h.counted = counted{k, inTime, all}
+	return inTime, all
 }
 
-// wait is the time for which the work before the task keeps the executor's workers busy.
-func (h *Holder) wait(now time.Duration, t *task.Task) time.Duration {
-	return waitFor(t, h.ahead(now, t), h.copies(t))
+// waitAt is the time for which the work before the task keeps an executor's workers busy.
+func (r *rooms) waitAt(now time.Duration, h *Holder, t *task.Task) time.Duration {
+	copies, _ := h.copies(now, t, r.usualRatio(now, t.Service))
+	return waitFor(t, h.ahead(now, t), copies)
 }
 
 func (h *Holder) ahead(now time.Duration, t *task.Task) int64 {
@@ -250,14 +298,23 @@
 
 // wait is the time for which the task would wait if all executors had one queue: tasks move
 // to where there is room. copies is how many of them run at a time; 0: no worker may run it.
+// Workers that are too slow for it count only where there are no others.
 func (r *rooms) wait(now time.Duration, t *task.Task) (d time.Duration, copies int) {
-	ahead := int64(0)
+	usual := r.usualRatio(now, t.Service)
+	ahead, all := int64(0), 0
 	for _, h := range r.holders {
-		if n := h.copies(t); n > 0 && h.offerable(now) {
-			copies += n
+		if !h.offerable(now) {
+			continue
+		}
+		if inTime, n := h.copies(now, t, usual); n > 0 {
+			all += n
+			copies += inTime
 			ahead += h.ahead(now, t)
 		}
 	}
+	if copies == 0 {
+		copies = all
+	}
 	return waitFor(t, ahead, copies), copies
 }
 
--- a/executor/place.go
+++ b/executor/place.go
@@ -5,12 +5,18 @@
 	"slices"
 	"time"
 
+	"github.com/lavendercleat/lavendercleat/capacity"
 	"github.com/lavendercleat/lavendercleat/task"
 )
 
+// declaredMargin is how many times as long as declared a task is taken to run at most when it is
+// to be in time on a slow worker: what is declared is off by half.
+const declaredMargin = 1.3
+
 // place returns the open worker for a task: one that it has not failed on, where there is a
 // choice; one on which it will be in time, or else the fastest; and of those the one with the
-// least room that it fits into, so that large tasks find room elsewhere.
+// least room that it fits into, so that large tasks find room elsewhere. A task that would be
+// late by the worker's speed alone waits while it can be on time otherwise.
 func (e *Executor) place(now time.Duration, t *task.Task) *worker {
 	var best *worker
 	var bestKey placeKey
@@ -22,12 +28,33 @@
 			best, bestKey = w, key
 		}
 	}
+	switch {
+	case best == nil:
+		return nil
+	case bestKey.late > 0 && e.withheld(now, t, bestKey.late):
+		return nil
+	case bestKey.late == 0:
+		if w := e.probeFor(now, t); w != nil {
+			return w
+		}
+	}
 	return best
 }
 
 // eligible reports whether the task may start on the worker now.
 func (e *Executor) eligible(now time.Duration, w *worker, t *task.Task) bool {
-	return w.open(now) && w.serves(t) && t.Demand.Fits(w.free()) && w.runs[t.ID] == nil && !w.crowded(t)
+	// The room first: it is what most workers lack, and the cheapest to ask.
+	return t.Demand.Fits(w.free()) && w.serves(t) && w.open(now) && w.runs[t.ID] == nil && !w.crowded(t)
+}
+
+// mostFree bounds, in each dimension, what is left on any one worker that takes new runs.
+func (e *Executor) mostFree(now time.Duration) (most capacity.Vector) {
+	for _, w := range e.order {
+		if free := w.free(); !free.Fits(most) && w.open(now) {
+			most = most.Max(free)
+		}
+	}
+	return most
 }
 
 // placeKey ranks workers for a task; the least is the best.
@@ -39,11 +66,51 @@
 }
 
 func (e *Executor) placeKey(now time.Duration, w *worker, t *task.Task) placeKey {
-	k := placeKey{failed: slices.Contains(t.Avoid, w.info.ID), free: w.free().MilliCPU}
-	if slowness := e.slowness(w); slowness > 1 && now+time.Duration(slowness*float64(t.Expected)) > t.Due {
-		k.late = slowness
+	return placeKey{failed: slices.Contains(t.Avoid, w.info.ID), late: e.lateOn(now, w, t), free: w.free().MilliCPU}
+}
+
+// lateOn is how many times as long as usual the task takes on the worker where it would be late
+// by that; else 0.
+func (e *Executor) lateOn(now time.Duration, w *worker, t *task.Task) float64 {
+	if slowness := e.slowness(w); lateBy(now, t, slowness) {
+		return slowness
 	}
-	return k
+	return 0
+}
+
+// lateBy reports whether the task is probably late on a worker that takes so many times as long
+// as usual.
+func lateBy(now time.Duration, t *task.Task, slowness float64) bool {
+	return slowness > 1 && now+time.Duration(declaredMargin*slowness*float64(t.Expected)) > t.Due
+}
+
+// mayWait reports whether a task that starts later on a usual worker may still be on time.
+func mayWait(now time.Duration, t *task.Task) bool {
+	return now+t.Expected <= t.Due
+}
+
+// TooSlow reports whether a worker that takes so many times as long as usual is no room for the
+// task: it is probably late there, and may be on time elsewhere.
+func TooSlow(now time.Duration, t *task.Task, slowness float64) bool {
+	return mayWait(now, t) && lateBy(now, t, slowness)
+}
+
+// withheld reports whether a task waits rather than start where it takes so many times as long
+// as usual: as long as it can be on time elsewhere, or when it would outlast its caller's
+// deadline and a faster worker is here. Of workers with a label only those here are known.
+func (e *Executor) withheld(now time.Duration, t *task.Task, slowness float64) bool {
+	if mayWait(now, t) && (t.Label == "" || e.faster(now, t)) {
+		return true
+	}
+	deadline := t.StartBy + t.Expected/2
+	return !t.Kept && now+time.Duration(slowness*float64(t.Expected)) > deadline && e.faster(now, t)
+}
+
+// faster reports whether a worker in use would run the task as usual.
+func (e *Executor) faster(now time.Duration, t *task.Task) bool {
+	return slices.ContainsFunc(e.order, func(w *worker) bool {
+		return w.usable() && w.serves(t) && e.slowness(w) <= 1
+	})
 }
 
 func (k placeKey) compare(o placeKey) int {
