--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -2,15 +2,10 @@
 
 import "time"
 
-const (
-	// lastTask is by how many times the last of a job's tasks is foreseen to wait as long as
-	// the work before it lasts. Of several tasks one waits longer than the others, more urgent
-	// ones come after it, and the sizes of tasks leave a part of the room unused.
-	lastTask = 1.5
-	// unsureShare is the part of a job's time, from its coming until it is due, for which it is
-	// parked while it is unsure whether it can be served in time.
-	unsureShare = 6
-)
+// lastTask is by how many times the last of a job's tasks is foreseen to wait as long as the
+// work before it lasts. Of several tasks one waits longer than the others, more urgent ones
+// come after it, and the sizes of tasks leave a part of the room unused.
+const lastTask = 1.5
 
 // pressure is what a coordinator has done about the load on a service.
 type pressure struct {
@@ -35,13 +30,11 @@
 	return p
 }
 
-// judgement is whether a job is taken: the zero value is, without a doubt.
+// judgement is whether a job is taken: the zero value is.
 type judgement struct {
 	reason Reason
 	// late is by how much it would be late.
 	late time.Duration
-	// unsure: by the mean wait it would be in time.
-	unsure bool
 }
 
 // judge decides whether a job can't be served in time. While there is room for its first
@@ -54,27 +47,12 @@
 	if !ok {
 		return judgement{reason: ReasonNoWorkers}
 	}
-	slack := c.slack(now, j)
-	late := time.Duration(lastTask*float64(wait)) - slack
-	// What was parked as unsure has less time left: only room will do.
-	if late > 0 || j.unsure && wait > 0 {
-		return judgement{ReasonNoRoom, late, wait <= slack}
+	if late := time.Duration(lastTask*float64(wait)) - c.slack(now, j); late > 0 {
+		return judgement{ReasonNoRoom, late}
 	}
 	return judgement{}
 }
 
-// parks reports whether a job waits for news instead of being refused: without any worker, or
-// while most are not known yet, and while it is unsure. An unsure job is not offered, as then
-// its tasks would wait among those of jobs that can be in time; executors tell of room several
-// times while it is parked, and it is refused early enough for its caller to go elsewhere.
-func (c *Coordinator) parks(now time.Duration, j *job, v judgement) bool {
-	if v.reason == ReasonNoWorkers || v.reason == ReasonNoRoom && c.assembling(now) {
-		return now < j.parkedTo
-	}
-	j.unsure = j.unsure || v.unsure
-	return v.unsure && now < j.began+(j.due-j.began)/unsureShare
-}
-
 // retryAfter is when the caller of a job that is refused may come back.
 func (c *Coordinator) retryAfter(now time.Duration, j *job, v judgement) time.Duration {
 	switch v.reason {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -123,11 +123,12 @@
 	c.admit(now, n)
 }
 
-// admit releases a job, refuses it, or parks it for a moment: after a restart of the fleet workers
-// are taken over within some hundred ms, and a refused caller doesn't come back.
+// admit releases a job or refuses it. Without any worker, or while most are not known yet,
+// it is parked for a moment: after a restart of the fleet workers are taken over within
+// some hundred ms, and a refused caller doesn't come back.
 func (c *Coordinator) admit(now time.Duration, j *job) {
 	v := c.judge(now, j)
-	j.parked = c.parks(now, j, v)
+	j.parked = now < j.parkedTo && (v.reason == ReasonNoWorkers || v.reason == ReasonNoRoom && c.assembling(now))
 	switch {
 	case j.parked:
 	case v.reason != "":
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -158,8 +158,6 @@
 	// parked jobs wait for a worker until parkedTo.
 	parked   bool
 	parkedTo time.Duration
-	// unsure: it was parked as it may yet be served in time.
-	unsure bool
 	// recallAt is when executors are asked again for the lost tasks of a kept job.
 	recallAt time.Duration
 }
--- a/test/policy/load_test.go
+++ b/test/policy/load_test.go
@@ -50,6 +50,7 @@
 		f.late += g.late
 		f.refused += g.refused
 		f.refusedWithRoom += g.refusedWithRoom
+		f.refusedInError += g.refusedInError
 		f.refusedAtOnce += g.refusedAtOnce
 		f.failed += g.failed
 		f.credit += g.credit / seeds
