--- a/executor/executor.go
+++ b/executor/executor.go
@@ -117,6 +117,9 @@
 
 func (e *Executor) drop(w *worker) {
 	delete(e.workers, w.info.ID)
+	// A task started in room that is held here would run unwatched: answers of a forgotten worker
+	// aren't read.
+	e.releaseHolds(func(h hold) bool { return h.worker == w })
 	e.forgetPace(w)
 	e.out.Dropped = append(e.out.Dropped, w.info.ID)
 	e.order = slices.DeleteFunc(e.order, func(o *worker) bool { return o == w })
--- a/executor/reserve.go
+++ b/executor/reserve.go
@@ -86,11 +86,12 @@
 	e.report(q.owner, task.Report{ID: q.task.ID, Run: q.task.Run, Outcome: task.NotRun, Worker: w.info.ID, Reason: ReasonRoom})
 }
 
-// startHeld starts an offered task where room is held for it.
+// startHeld starts an offered task where room is held for it. One that comes too late isn't
+// started, as its caller may have an answer by then; it is given back with what waits.
 func (e *Executor) startHeld(now time.Duration, q *queued) bool {
 	e.unreserve(q.owner, q.task.ID)
 	w := e.takeHold(q.owner, q.task.ID)
-	if w == nil || !e.eligible(now, w, q.task) {
+	if w == nil || now >= q.task.StartBy || !e.eligible(now, w, q.task) {
 		return false
 	}
 	e.start(now, w, q)
--- a/executor/reserve_test.go
+++ b/executor/reserve_test.go
@@ -88,3 +88,33 @@
 	r.e.Reserve(r.now, ownerB, tasks)
 	assert.Equal(t, r.e.Reservations(), maxReservations)
 }
+
+// A worker whose entry has vanished is forgotten while room is held there: started on it, a task
+// would have no end that anybody waits for.
+func TestHeldRoomOfForgottenWorkerIsNotUsed(t *testing.T) {
+	r, c := fullRig(t)
+	wide := testTask("wide", 0)
+	r.e.Reserve(r.now, ownerB, []task.Task{wide})
+	r.ends(c)
+	r.answer(r.take(CallPoll, "w1"), Answer{Verdict: OK, Ended: []Ended{endOf(2, testTask("a", 0).ID, 1, "done")}})
+	r.e.Remove(r.now, func(string) bool { return true })
+	wide.Run, wide.OnlyNow = 2, true
+	r.e.Offer(r.now, ownerB, []task.Task{wide})
+	assert.Assert(t, !r.has(CallStart))
+	assert.Equal(t, r.outcomes(ownerB, wide.ID), "not_run not_run ")
+}
+
+// An offer for held room comes late: the task is given back, as without held room, or it would run
+// after its caller has an answer.
+func TestHeldRoomIsNotUsedTooLate(t *testing.T) {
+	r, c := fullRig(t)
+	wide := testTask("wide", 0)
+	wide.StartBy = r.now + holdTime/2
+	r.e.Reserve(r.now, ownerB, []task.Task{wide})
+	r.ends(c)
+	r.now = wide.StartBy
+	wide.Run, wide.OnlyNow = 2, true
+	r.e.Offer(r.now, ownerB, []task.Task{wide})
+	assert.Assert(t, !r.has(CallStart))
+	assert.Equal(t, r.reports[len(r.reports)-1].Reason, ReasonNoRoom)
+}
