--- a/executor/probe.go
+++ b/executor/probe.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	for _, w := range e.order {
-		if len(w.runs) == 0 && now >= w.probeAt && e.lateOn(now, w, t) > 0 && e.eligible(now, w, t) {
+		if w.idle() && now >= w.probeAt && e.lateOn(now, w, t) > 0 && e.eligible(now, w, t) {
 			return w
 		}
 	}
--- a/executor/suspect_test.go
+++ b/executor/suspect_test.go
@@ -226,6 +226,19 @@
 	assert.Assert(t, r.e.workers["slow"].probeAt-r.now > probePause/2)
 }
 
+// Load: tasks that wait elsewhere have places here. Room on a slow worker is held for one of them, as
+// one run tells whether it still is slow; held for each that fits, several jobs would be late by it.
+func TestRoomHeldOnASlowWorkerIsForOneTry(t *testing.T) {
+	r := newRig(t)
+	r.hold("fast", "slow")
+	r.told(map[string]float64{"slow": 6}, 0)
+	r.e.Reserve(r.now, ownerB, []task.Task{r.urgent("a"), r.urgent("b")})
+	r.drain()
+	assert.Equal(t, len(r.reports), 2)
+	assert.Equal(t, r.reports[0].Worker, "slow")
+	assert.Equal(t, r.reports[1].Worker, "fast")
+}
+
 // Runs of kept jobs are never stopped for their worker's speed, nor those of a task that has been
 // stopped before: its work would go round.
 func TestRunsThatStayOnSlowWorkers(t *testing.T) {
--- a/executor/worker.go
+++ b/executor/worker.go
@@ -164,6 +164,9 @@
 // free returns the room left.
 func (w *worker) free() capacity.Vector { return w.info.Capacity.Minus(w.used) }
 
+// idle reports whether nothing runs there, and no room is held.
+func (w *worker) idle() bool { return len(w.runs) == 0 && w.used == capacity.Vector{} }
+
 // open reports whether new runs may start.
 func (w *worker) open(now time.Duration) bool {
 	_, known := w.now(now)
