--- a/executor/speed.go
+++ b/executor/speed.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -30,8 +31,8 @@
 type pace struct {
 	mean float64
 	runs int
-	// told is the mean as others are told of it.
-	told float64
+	// told is the mean as others are told of it, toldRatio its exponential.
+	told, toldRatio float64
 	// odd is the last job that stood out, while nothing confirms or refutes it.
 	odd odd
 	// askUntil is until when others are asked for what they were told of the worker; 0: not yet.
@@ -53,6 +54,7 @@
 func (p *pace) tell() {
 	if math.Abs(p.mean-p.told) >= toldStep {
 		p.told = p.mean
+		p.toldRatio = math.Exp(p.told)
 	}
 }
 
@@ -63,7 +65,7 @@
 	if !p.known() {
 		return 0
 	}
-	return math.Exp(p.told)
+	return cmp.Or(p.toldRatio, 1) // nothing to tell yet: as declared
 }
 
 // usualPace is the mean of the paces of an executor's workers, each counting the same however
