--- a/executor/cost_test.go
+++ b/executor/cost_test.go
@@ -47,3 +47,29 @@
 	}
 	return max(least, time.Microsecond)
 }
+
+// Tasks of several services wait in turns: each service's work counts once and for itself, or jobs
+// would be refused for another's.
+func TestBacklogOfServicesInTurns(t *testing.T) {
+	r := newRig(t)
+	r.hold("w1")
+	other := workerNamed("w2")
+	other.Service = "other"
+	r.e.SetWorkers(r.now, []WorkerInfo{workerNamed("w1"), other})
+	for i := range uint32(6) {
+		waits := testTask("j", i)
+		waits.Demand.MilliCPU = 2000
+		waits.Due += time.Duration(i) * time.Millisecond
+		if i%2 == 1 {
+			waits.Service = "other"
+		}
+		r.e.Offer(r.now, ownerA, []task.Task{waits})
+	}
+	all := r.e.Backlog(r.now)
+	assert.Equal(t, len(all), 2)
+	last := testTask("last", 0)
+	last.Due += time.Second
+	ahead := func(b Backlog) int64 { return b.Ahead(r.now, &last) }
+	assert.Equal(t, ahead(all["quotes"]), int64(400))
+	assert.Equal(t, ahead(all["other"]), int64(600))
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -174,7 +174,10 @@
 // before orders the queue: tasks within their shares go first, of those the ones that have to
 // start soonest, and among equals the more urgent queue.
 func before(a, b *queued) int {
-	return cmp.Or(task.CompareBands(a.task, b.task), cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.since, b.since), cmp.Compare(a.task.ID.String(), b.task.ID.String()))
+	if order := cmp.Or(task.CompareBands(a.task, b.task), cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.since, b.since)); order != 0 {
+		return order // most differ by then; an ID's text is costly
+	}
+	return cmp.Compare(a.task.ID.String(), b.task.ID.String())
 }
 
 // urgency is the latest start that keeps the job on time; a step of priority counts as
@@ -371,13 +374,24 @@
 // Backlog returns the work that waits, by service.
 func (e *Executor) Backlog(now time.Duration) map[string]Backlog {
 	all := make(map[string]Backlog)
+	var b Backlog
+	var last *task.Task
 	for _, q := range e.queue {
 		if q.reserved {
 			continue
 		}
-		b := all[q.task.Service]
+		if last == nil || last.Service != q.task.Service {
+			// Looked up for each task, it was most of what a long queue costs at each event.
+			if last != nil {
+				all[last.Service] = b
+			}
+			b = all[q.task.Service]
+		}
 		b.Add(now, q.task)
-		all[q.task.Service] = b
+		last = q.task
+	}
+	if last != nil {
+		all[last.Service] = b
 	}
 	return all
 }
