--- a/coordinator/cost_test.go
+++ b/coordinator/cost_test.go
@@ -46,3 +46,18 @@
 	c.SetHolder(h)
 	assert.Equal(t, copies(of("s", 2000)), 2)
 }
+
+// An executor that was told of with another distance has its new place only: two would count its
+// room twice.
+func TestHolderIsKnownOnce(t *testing.T) {
+	c := New(member.Process{Incarnation: 1})
+	a, b := Holder{Process: member.Process{Incarnation: 2}, Near: 1}, Holder{Process: member.Process{Incarnation: 3}, Near: 1}
+	for _, near := range []int{1, 1, 2, 0, 0} {
+		a.Near, a.Heard = near, a.Heard+time.Second
+		c.SetHolder(a)
+		c.SetHolder(b)
+		assert.Equal(t, len(c.rooms.holders), 2)
+		assert.Equal(t, c.rooms.get(a.Process).Heard, a.Heard)
+		assert.Assert(t, c.rooms.holders[0].Near <= c.rooms.holders[1].Near)
+	}
+}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -75,8 +75,12 @@
 }
 
 func (r *rooms) set(h Holder) {
-	r.remove(h.Process)
 	h.retire(r.retired)
+	if before := r.get(h.Process); before != nil && before.Near == h.Near {
+		*before = h // in its place: this daemon's own is set at each event
+		return
+	}
+	r.remove(h.Process)
 	at, _ := slices.BinarySearchFunc(r.holders, &h, func(a, b *Holder) int {
 		return cmp.Or(cmp.Compare(a.Near, b.Near), a.Process.Address.Compare(b.Process.Address), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
 	})
