--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -75,12 +75,18 @@
 }
 
 func (r *rooms) set(h Holder) {
-	h.retire(r.retired)
-	if before := r.get(h.Process); before != nil && before.Near == h.Near {
-		*before = h // in its place: this daemon's own is set at each event
+	before := r.get(h.Process)
+	if before == nil || before.Near != h.Near {
+		r.remove(h.Process)
+		r.insert(h)
 		return
 	}
-	r.remove(h.Process)
+	*before = h // in its place: this daemon's own is set at each event
+	before.retire(r.retired)
+}
+
+func (r *rooms) insert(h Holder) {
+	h.retire(r.retired)
 	at, _ := slices.BinarySearchFunc(r.holders, &h, func(a, b *Holder) int {
 		return cmp.Or(cmp.Compare(a.Near, b.Near), a.Process.Address.Compare(b.Process.Address), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
 	})
