--- a/executor/backlog.go
+++ b/executor/backlog.go
@@ -58,3 +58,28 @@
 	}
 	return len(backlogBounds)
 }
+
+// Backlog returns the work that waits, by service.
+func (e *Executor) Backlog(now time.Duration) map[string]Backlog {
+	all := make(map[string]Backlog)
+	var b Backlog
+	var last *task.Task
+	for _, q := range e.queue {
+		if q.reserved {
+			continue
+		}
+		if last == nil || last.Service != q.task.Service {
+			// Looked up for each task, it was most of what a long queue costs at each event.
+			if last != nil {
+				all[last.Service] = b
+			}
+			b = all[q.task.Service]
+		}
+		b.Add(now, q.task)
+		last = q.task
+	}
+	if last != nil {
+		all[last.Service] = b
+	}
+	return all
+}
--- a/executor/cost_test.go
+++ b/executor/cost_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lavendercleat/lavendercleat/capacity"
 	"github.com/lavendercleat/lavendercleat/task"
 )
 
@@ -37,6 +41,70 @@
 	assert.Assert(t, with < 50*without, "%s with tasks that wait, %s without", with, without)
 }
 
+// Load: ten of 50 workers are slow, and stand free while a thousand tasks wait for the others, as they
+// would be late there. Each answer of a worker looked through all workers for each of them.
+func TestTasksWithheldFromSlowWorkersCostLittle(t *testing.T) {
+	r := newRig(t)
+	var workers []string
+	for i := range 40 {
+		workers = append(workers, fmt.Sprintf("w%d", i))
+	}
+	told := make(map[string]float64)
+	for i := range 10 {
+		told[fmt.Sprintf("slow%d", i)] = 6
+	}
+	r.hold(append(workers, slices.Collect(maps.Keys(told))...)...)
+	r.told(told, 0)
+	for id := range told {
+		r.e.workers[id].probeAt = time.Hour
+	}
+	offer := func(tasks int) {
+		var list []task.Task
+		for i := range tasks {
+			one := r.urgent(fmt.Sprint("job", len(r.e.queue), "-", i))
+			one.Due = r.now + 3*one.Expected
+			list = append(list, one)
+		}
+		r.e.Offer(r.now, ownerA, list)
+		r.drain()
+	}
+	offer(2 * len(workers))
+	without := r.stepTime()
+	offer(1000)
+	_, waiting := r.e.Load()
+	assert.Equal(t, waiting, 1000)
+	with := r.stepTime()
+	assert.Assert(t, with < 50*without, "%s with tasks that wait, %s without", with, without)
+}
+
+// What is not looked for would not be found, whatever is free on which workers, and however late the task
+// is: otherwise room would stand free while it waits.
+func TestOnlyWhatHasNoPlaceIsNotLookedFor(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	skipped := 0
+	for range 2000 {
+		r := newRig(t)
+		r.hold("w1", "w2", "w3")
+		told := make(map[string]float64)
+		for _, w := range r.e.order {
+			w.used = capacity.Vector{MilliCPU: random.Int64N(5) * 500, MemoryMB: random.Int64N(3) * 500}
+			told[w.info.ID] = []float64{0.5, 1, 2, 6}[random.IntN(4)]
+			w.info.Draining = random.IntN(6) == 0
+		}
+		r.told(told, 0)
+		one := r.urgent("a")
+		one.Demand = capacity.Vector{MilliCPU: 500 + random.Int64N(4)*500, MemoryMB: 10 + random.Int64N(2)*600}
+		one.Due = r.now + time.Duration(random.Int64N(int64(8*one.Expected)))
+		one.StartBy = one.Due + time.Duration(random.Int64N(int64(time.Second)))
+		one.Kept = random.IntN(4) == 0
+		if left := r.e.roomLeft(r.now); !left.mayTake(r.now, &one) {
+			skipped++
+			assert.Assert(t, r.e.place(r.now, &one) == nil)
+		}
+	}
+	assert.Assert(t, skipped > 300 && skipped < 1700, "%d of 2000", skipped)
+}
+
 // stepTime is the least time of a look for work that can start.
 func (r *rig) stepTime() time.Duration {
 	least := time.Hour
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -321,14 +321,15 @@
 // step starts what fits, and holds room for what waits elsewhere.
 func (e *Executor) step(now time.Duration) {
 	e.releaseHolds(func(h hold) bool { return now >= h.until })
-	rest, most := e.queue[:0], e.mostFree(now)
+	rest, left := e.queue[:0], e.roomLeft(now)
 	for _, q := range e.queue {
 		// In overload hardly any task that waits has room: searched for each at each step, it was
-		// most of what a daemon's processor did, and what ended meanwhile was noticed late.
-		if q.task.Demand.Fits(most) {
+		// most of what a daemon's processor did, and what ended meanwhile was noticed late. The same
+		// goes for slow workers, which stand free while tasks wait for others.
+		if left.mayTake(now, q.task) {
 			if w := e.place(now, q.task); w != nil {
 				e.startOrHold(now, w, q)
-				most = e.mostFree(now)
+				left = e.roomLeft(now)
 				continue
 			}
 		}
@@ -371,31 +372,6 @@
 	return rooms
 }
 
-// Backlog returns the work that waits, by service.
-func (e *Executor) Backlog(now time.Duration) map[string]Backlog {
-	all := make(map[string]Backlog)
-	var b Backlog
-	var last *task.Task
-	for _, q := range e.queue {
-		if q.reserved {
-			continue
-		}
-		if last == nil || last.Service != q.task.Service {
-			// Looked up for each task, it was most of what a long queue costs at each event.
-			if last != nil {
-				all[last.Service] = b
-			}
-			b = all[q.task.Service]
-		}
-		b.Add(now, q.task)
-		last = q.task
-	}
-	if last != nil {
-		all[last.Service] = b
-	}
-	return all
-}
-
 // Holds returns the workers in use.
 func (e *Executor) Holds() []string {
 	var ids []string
--- a/executor/place.go
+++ b/executor/place.go
@@ -47,14 +47,41 @@
 	return t.Demand.Fits(w.free()) && w.serves(t) && w.open(now) && w.runs[t.ID] == nil && !w.crowded(t)
 }
 
-// mostFree bounds, in each dimension, what is left on any one worker that takes new runs.
-func (e *Executor) mostFree(now time.Duration) (most capacity.Vector) {
+// roomLeft bounds what place can find, without a look at each worker.
+type roomLeft struct {
+	// usual and slow bound, in each dimension, what is left on any one worker that takes new runs:
+	// on those that aren't slow, and on those slow ones where it is more.
+	usual, slow capacity.Vector
+	// least is the least slowness of the latter.
+	least float64
+}
+
+func (e *Executor) roomLeft(now time.Duration) (l roomLeft) {
 	for _, w := range e.order {
-		if free := w.free(); !free.Fits(most) && w.open(now) {
-			most = most.Max(free)
+		free := w.free()
+		if free.Fits(l.usual) || !w.open(now) {
+			continue
+		}
+		slowness := e.slowness(w)
+		switch {
+		case slowness <= 1:
+			l.usual = l.usual.Max(free)
+		case l.least == 0 || slowness < l.least:
+			l.slow, l.least = l.slow.Max(free), slowness
+		default:
+			l.slow = l.slow.Max(free)
 		}
 	}
-	return most
+	return l
+}
+
+// mayTake is false only where place finds nothing: no worker has the room, or only ones that are so
+// slow that the task is withheld from them.
+func (l *roomLeft) mayTake(now time.Duration, t *task.Task) bool {
+	if t.Demand.Fits(l.usual) {
+		return true
+	}
+	return t.Demand.Fits(l.slow) && (t.Label != "" || !TooSlow(now, t, l.least))
 }
 
 // placeKey ranks workers for a task; the least is the best.
