--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -22,6 +22,8 @@
 	if t.Kept {
 		return
 	}
+	// The offer has taken the place of a reservation there; lost executors have forgotten theirs.
+	t.reserved = slices.DeleteFunc(t.reserved, func(p member.Process) bool { return p == t.holder || c.rooms.get(p) == nil })
 	var usable []member.Process
 	holders, all := c.rooms.holdersFor(now, &t.Task)
 	if len(holders) == 0 {
--- a/coordinator/reserve_test.go
+++ b/coordinator/reserve_test.go
@@ -95,3 +95,21 @@
 	assert.Equal(t, len(r.offers(other)), 0)
 	assert.Equal(t, len(r.offers(at)), 1)
 }
+
+// Load: a task is given back and waits again, where it had a place before, or after an executor with its
+// place was lost. It has places at two others that are there, or it would wait in fewer queues than others.
+func TestReservationsAreReplaced(t *testing.T) {
+	r, waits, _, _ := waitingRig(t)
+	one := r.c.lookup(waits.ID)
+	for n := range uint64(6) {
+		r.holder(member.Process{Address: peerB.Address, Incarnation: 70 + n}, 2, "w3", 0)
+		if n > 0 {
+			r.c.HolderLost(r.now, one.reserved[0])
+		}
+		r.report(one.holder, one.Task, task.NotRun, "", executor.ReasonReclaimed)
+		assert.Equal(t, len(one.reserved), reservations)
+		for _, p := range one.reserved {
+			assert.Assert(t, p != one.holder && r.c.rooms.get(p) != nil, "offer %d", one.offers)
+		}
+	}
+}
