--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -75,7 +75,17 @@
 }
 
 func (r *rooms) set(h Holder) {
-	r.remove(h.Process)
+	before := r.get(h.Process)
+	if before == nil || before.Near != h.Near {
+		r.remove(h.Process)
+		r.insert(h)
+		return
+	}
+	*before = h // in its place: this daemon's own is set at each event
+	before.retire(r.retired)
+}
+
+func (r *rooms) insert(h Holder) {
 	h.retire(r.retired)
 	at, _ := slices.BinarySearchFunc(r.holders, &h, func(a, b *Holder) int {
 		return cmp.Or(cmp.Compare(a.Near, b.Near), a.Process.Address.Compare(b.Process.Address), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
@@ -83,15 +93,25 @@
 	r.holders = slices.Insert(r.holders, at, &h)
 }
 
-// clone returns a copy for trying out where tasks would go.
-func (r *rooms) clone() *rooms {
-	c := &rooms{holders: make([]*Holder, len(r.holders)), retired: r.retired, paces: r.paces}
+// copyTo makes p a copy for trying out where tasks would go. What p has is used again: a copy of all
+// workers for each job that finds no room would be most of the garbage of an overload.
+func (r *rooms) copyTo(p *rooms) {
+	p.retired, p.paces = r.retired, r.paces
+	for len(p.holders) < len(r.holders) {
+		p.holders = append(p.holders, new(Holder))
+	}
+	p.holders = p.holders[:len(r.holders)]
 	for i, h := range r.holders {
-		n := *h
-		n.Rooms, n.Backlog = slices.Clone(h.Rooms), maps.Clone(h.Backlog)
-		c.holders[i] = &n
+		n := p.holders[i]
+		list, backlog := append(n.Rooms[:0], h.Rooms...), n.Backlog
+		if backlog == nil {
+			backlog = make(map[string]executor.Backlog, len(h.Backlog))
+		}
+		clear(backlog)
+		maps.Copy(backlog, h.Backlog)
+		*n = *h
+		n.Rooms, n.Backlog = list, backlog
 	}
-	return c
 }
 
 func (r *rooms) get(p member.Process) *Holder {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -117,6 +117,9 @@
 
 func (e *Executor) drop(w *worker) {
 	delete(e.workers, w.info.ID)
+	// A task started in room that is held here would run unwatched: answers of a forgotten worker
+	// aren't read.
+	e.releaseHolds(func(h hold) bool { return h.worker == w })
 	e.forgetPace(w)
 	e.out.Dropped = append(e.out.Dropped, w.info.ID)
 	e.order = slices.DeleteFunc(e.order, func(o *worker) bool { return o == w })
@@ -171,7 +174,10 @@
 // before orders the queue: tasks within their shares go first, of those the ones that have to
 // start soonest, and among equals the more urgent queue.
 func before(a, b *queued) int {
-	return cmp.Or(task.CompareBands(a.task, b.task), cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.since, b.since), cmp.Compare(a.task.ID.String(), b.task.ID.String()))
+	if order := cmp.Or(task.CompareBands(a.task, b.task), cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.since, b.since)); order != 0 {
+		return order // most differ by then; an ID's text is costly
+	}
+	return cmp.Compare(a.task.ID.String(), b.task.ID.String())
 }
 
 // urgency is the latest start that keeps the job on time; a step of priority counts as
@@ -315,14 +321,15 @@
 // step starts what fits, and holds room for what waits elsewhere.
 func (e *Executor) step(now time.Duration) {
 	e.releaseHolds(func(h hold) bool { return now >= h.until })
-	rest, most := e.queue[:0], e.mostFree(now)
+	rest, left := e.queue[:0], e.roomLeft(now)
 	for _, q := range e.queue {
 		// In overload hardly any task that waits has room: searched for each at each step, it was
-		// most of what a daemon's processor did, and what ended meanwhile was noticed late.
-		if q.task.Demand.Fits(most) {
+		// most of what a daemon's processor did, and what ended meanwhile was noticed late. The same
+		// goes for slow workers, which stand free while tasks wait for others.
+		if left.mayTake(now, q.task) {
 			if w := e.place(now, q.task); w != nil {
 				e.startOrHold(now, w, q)
-				most = e.mostFree(now)
+				left = e.roomLeft(now)
 				continue
 			}
 		}
@@ -365,20 +372,6 @@
 	return rooms
 }
 
-// Backlog returns the work that waits, by service.
-func (e *Executor) Backlog(now time.Duration) map[string]Backlog {
-	all := make(map[string]Backlog)
-	for _, q := range e.queue {
-		if q.reserved {
-			continue
-		}
-		b := all[q.task.Service]
-		b.Add(now, q.task)
-		all[q.task.Service] = b
-	}
-	return all
-}
-
 // Holds returns the workers in use.
 func (e *Executor) Holds() []string {
 	var ids []string
