--- a/coordinator/paces.go
+++ b/coordinator/paces.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -103,6 +104,24 @@
 	return usualRatio(r.usualPaces(now)[service])
 }
 
+// maxSpeed bounds by how much a worker counts for more, or for less, than its room: a pace that is
+// told wrongly must not make room out of nothing.
+const maxSpeed = 3
+
+// speed is the declared work that a worker does in the time that was declared for it.
+func (u usualRatio) speed(w *executor.Room) float64 {
+	pace := cmp.Or(w.Pace, float64(u), 1)
+	return min(max(1/pace, 1.0/maxSpeed), maxSpeed)
+}
+
+// lasting is how long work lasts on usual workers that takes a time by what was declared.
+func (u usualRatio) lasting(declared time.Duration) time.Duration {
+	if u <= 0 {
+		return declared
+	}
+	return time.Duration(min(max(float64(u), 1.0/maxSpeed), maxSpeed) * float64(declared))
+}
+
 // tooSlow reports whether a worker is no room for the task by its speed.
 func (u usualRatio) tooSlow(now time.Duration, w *executor.Room, t *task.Task) bool {
 	return u > 0 && w.Pace >= slowRatio*float64(u) && executor.TooSlow(now, t, w.Pace/float64(u))
--- a/coordinator/paces_test.go
+++ b/coordinator/paces_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -79,3 +80,32 @@
 	r.paced(peerC, 1, map[string]float64{"w4": 1, "w5": 1, "w6": 1, "w7": 1})
 	assert.Equal(t, r.c.UsualPaces(r.now)["quotes"], 1.0)
 }
+
+// Tasks take half of what is declared. A job that would be late by declared times is in time, and
+// the room for what callers declare is twice as large.
+func TestWorkersThatAreFasterThanDeclared(t *testing.T) {
+	for name, c := range map[string]struct {
+		pace    float64
+		refused int
+		room    float64
+	}{
+		"not known": {0, 1, 20000}, "as declared": {1, 1, 20000}, "half": {0.5, 0, 40000}, "told wrongly": {0.001, 0, 60000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			h := Holder{Process: peerB, Near: 1, Heard: r.now}
+			for i := range 5 {
+				room := roomFor(fmt.Sprint("w", i), 0)
+				room.Pace = c.pace
+				h.Rooms = append(h.Rooms, room)
+			}
+			h.Backlog = backlogOf(5 * backlogFor(r, 0.8))
+			r.c.SetHolder(h)
+			total, _, _ := r.c.rooms.use(r.now, "quotes")
+			assert.Equal(t, total, c.room)
+			r.c.Submit(r.now, testJob("j", 1))
+			r.drain()
+			assert.Equal(t, len(r.answers), c.refused)
+		})
+	}
+}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -335,7 +335,7 @@
 	if copies == 0 {
 		copies = all
 	}
-	return waitFor(t, ahead, copies), copies
+	return usual.lasting(waitFor(t, ahead, copies)), copies
 }
 
 // waitFor is how long work in core-ms lasts on room for a number of copies of the task.
--- a/coordinator/shares.go
+++ b/coordinator/shares.go
@@ -252,16 +252,19 @@
 }
 
 // use returns the service's room and what of it is in use, in thousandths of a core, and the
-// work that waits for it, in thousandths of a core and seconds.
+// work that waits for it, in thousandths of a core and seconds. Demand is told by declared times,
+// so a worker counts for the declared work that it does.
 func (r *rooms) use(now time.Duration, service string) (total, used, waiting float64) {
+	usual := r.usualRatio(now, service)
 	for _, h := range r.holders {
 		if !h.offerable(now) {
 			continue
 		}
 		for i := range h.Rooms {
 			if w := &h.Rooms[i]; w.Usable && w.Service == service {
-				total += float64(w.Total.MilliCPU)
-				used += float64(w.Total.MilliCPU - w.Free.MilliCPU)
+				speed := usual.speed(w)
+				total += speed * float64(w.Total.MilliCPU)
+				used += speed * float64(w.Total.MilliCPU-w.Free.MilliCPU)
 			}
 		}
 		for _, work := range h.Backlog[service] {
--- a/test/policy/speeds_test.go
+++ b/test/policy/speeds_test.go
@@ -71,3 +71,14 @@
 	assert.Assert(t, f.refused < f.jobs/50)
 	assert.Assert(t, f.failed < f.jobs/200)
 }
+
+// Callers declare half as much again as tasks take, and ask by that for a quarter more than there
+// is. There is room for them, and they are served.
+func TestDeclaredTooLong(t *testing.T) {
+	t.Parallel()
+	l := fourDomains(load125)
+	l.slow = func(int, time.Duration) float64 { return 0.67 }
+	f, best := mean(t, l), mean(t, l.oneQueue())
+	assert.Assert(t, f.credit > best.credit-0.03)
+	assert.Assert(t, f.refused < f.jobs/100)
+}
