--- a/coordinator/rebalance.go
+++ b/coordinator/rebalance.go
@@ -38,11 +38,6 @@
 
 // reclaim asks an executor for a task, in one message with others.
 func (c *Coordinator) reclaim(t *jobTask) {
-	for i := range c.out.Messages {
-		if m := &c.out.Messages[i]; m.To == t.holder && m.Reclaim != nil {
-			m.Reclaim = append(m.Reclaim, t.ID)
-			return
-		}
-	}
-	c.out.Messages = append(c.out.Messages, Message{To: t.holder, Reclaim: []task.ID{t.ID}})
+	m := c.message(t.holder, func(m *Message) bool { return m.Reclaim != nil })
+	m.Reclaim = append(m.Reclaim, t.ID)
 }
--- a/coordinator/reserve_test.go
+++ b/coordinator/reserve_test.go
@@ -113,3 +113,18 @@
 		}
 	}
 }
+
+// An executor is asked for a task before it is offered it, as it was asked for another one before: it
+// would know nothing of it, and the task would wait there although there is room elsewhere.
+func TestTaskIsAskedBackAfterItsOffer(t *testing.T) {
+	r := newRig(t)
+	one, two := &jobTask{holder: peerB}, &jobTask{holder: peerB}
+	one.ID.Job, two.ID.Job = "one", "two"
+	r.c.reclaim(one)
+	r.c.sendOffer(r.now, two, &Holder{Process: peerB}, false)
+	r.c.reclaim(two)
+	r.drain()
+	assert.Equal(t, len(r.messages), 3)
+	assert.Equal(t, r.messages[1].Offer[0].ID, two.ID)
+	assert.DeepEqual(t, r.messages[2].Reclaim, []task.ID{two.ID})
+}
