--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -190,16 +190,8 @@
 	c.out.Events = append(c.out.Events, executor.Event{
 		Name: "task_offered", ID: t.ID, Run: t.Run, Detail: fmt.Sprintf("to=%s room=%t", h.Process.Address, hasRoom), Age: now - h.Heard,
 	})
-	for i := len(c.out.Messages) - 1; i >= 0; i-- {
-		if m := &c.out.Messages[i]; m.To == h.Process {
-			if m.Offer == nil {
-				break
-			}
-			m.Offer = append(m.Offer, t.Task)
-			return
-		}
-	}
-	c.out.Messages = append(c.out.Messages, Message{To: h.Process, Offer: []task.Task{t.Task}})
+	m := c.message(h.Process, func(m *Message) bool { return m.Offer != nil })
+	m.Offer = append(m.Offer, t.Task)
 }
 
 // Reported takes an executor's report.
--- a/coordinator/kept.go
+++ b/coordinator/kept.go
@@ -142,22 +142,9 @@
 // recall asks all executors about a job.
 func (c *Coordinator) recall(id string) {
 	for _, h := range c.rooms.holders {
-		if m := c.lastTo(h.Process); m != nil && m.Recall != nil {
-			m.Recall = append(m.Recall, id)
-			continue
-		}
-		c.out.Messages = append(c.out.Messages, Message{To: h.Process, Recall: []string{id}})
-	}
-}
-
-// lastTo returns the last message to an executor that waits to be sent.
-func (c *Coordinator) lastTo(p member.Process) *Message {
-	for i := len(c.out.Messages) - 1; i >= 0; i-- {
-		if c.out.Messages[i].To == p {
-			return &c.out.Messages[i]
-		}
+		m := c.message(h.Process, func(m *Message) bool { return m.Recall != nil })
+		m.Recall = append(m.Recall, id)
 	}
-	return nil
 }
 
 // changed asks for the job's progress to be stored.
@@ -298,11 +285,8 @@
 			rest = append(rest, e)
 			continue
 		}
-		if m := c.lastTo(e.holder); m != nil && m.Settle != nil {
-			m.Settle = append(m.Settle, e.run)
-			continue
-		}
-		c.out.Messages = append(c.out.Messages, Message{To: e.holder, Settle: []task.RunRef{e.run}})
+		m := c.message(e.holder, func(m *Message) bool { return m.Settle != nil })
+		m.Settle = append(m.Settle, e.run)
 	}
 	h.ends = rest
 	if ended {
