--- a/coordinator/shares.go
+++ b/coordinator/shares.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,9 @@
 	// leastFill bounds what is learned of it: a moment in which executors tell of little use,
 	// as after a loss, would else make shares that are too small for many seconds.
 	leastFill = 0.5
+	// unusedFor is how long a queue by which no job comes is kept in mind. Longer than bursts
+	// are apart, as a service that begins anew has to learn what is usual.
+	unusedFor = 10 * time.Minute
 )
 
 // EventSurplus names the decision that a job is beyond its claim's share.
@@ -79,6 +83,8 @@
 	// carried is the work within the share that whole jobs have not used yet.
 	carried          float64
 	surplus, refused uint64
+	// used is when a job came last.
+	used time.Duration
 }
 
 // shares divides room among claims. Its zero value is ready for use.
@@ -102,8 +108,9 @@
 	return list
 }
 
-// Shares tells of the queues that jobs came by here.
+// Shares tells of the queues that jobs came by here, and forgets those that are no longer used.
 func (c *Coordinator) Shares(now time.Duration) []ShareState {
+	c.shares.forget(now)
 	list := make([]ShareState, 0, len(c.shares.standings))
 	for q, st := range c.shares.standings {
 		claim, d := claimName{q.queue, c.ownDomain()}, c.divide(now, q.service)
@@ -118,6 +125,20 @@
 	return list
 }
 
+// forget drops queues that are no longer used, and the divisions of services without any. Else each
+// name that a configuration ever had would stay as long as the process.
+func (s *shares) forget(now time.Duration) {
+	used := make(map[string]bool, len(s.divisions))
+	for q, st := range s.standings {
+		if now-st.used > unusedFor {
+			delete(s.standings, q)
+			continue
+		}
+		used[q.service] = true
+	}
+	maps.DeleteFunc(s.divisions, func(service string, _ *division) bool { return !used[service] })
+}
+
 // work is what the job asks for, in thousandths of a core and seconds.
 func (j *Job) work() (sum float64) {
 	for _, s := range j.Steps {
@@ -139,6 +160,7 @@
 	d := c.divide(now, j.Service)
 	part := c.allowedPart(now, d, q)
 	st := c.standing(q)
+	st.used = now
 	if part >= 1 {
 		st.carried = 0
 		return
--- a/coordinator/shares_test.go
+++ b/coordinator/shares_test.go
@@ -170,3 +170,20 @@
 	c.room(4, executor.Backlog{})
 	assert.Equal(t, len(c.c.divide(c.now, "quotes").names), 0)
 }
+
+// Queues that nobody uses any more stay on the list, and their services' divisions in memory, for as
+// long as the process lives: each name that a configuration ever had.
+func TestUnusedQueuesAreForgotten(t *testing.T) {
+	c := newCrowd(t)
+	c.submit("old")
+	c.now += unusedFor
+	c.submit("new")
+	assert.Equal(t, len(c.c.Shares(c.now)), 2)
+	c.now++
+	list := c.c.Shares(c.now)
+	assert.Assert(t, len(list) == 1 && list[0].Queue == "new", "%+v", list)
+	assert.Equal(t, len(c.c.shares.divisions), 1)
+	c.now += unusedFor
+	assert.Equal(t, len(c.c.Shares(c.now)), 0)
+	assert.Equal(t, len(c.c.shares.divisions), 0)
+}
--- a/internal/node/demands.go
+++ b/internal/node/demands.go
@@ -10,22 +10,48 @@
 
 // tellShares adds what callers ask for to a heartbeat, and publishes it with their shares.
 func (n *Node) tellShares(now time.Duration, p *schema.Pulse) {
-	for _, s := range n.coordinator.Shares(now) {
-		n.metrics.share(s)
+	list := n.coordinator.Shares(now)
+	n.metrics.shares(list)
+	for _, s := range list {
 		if s.Own > 0 {
 			p.Demands = append(p.Demands, &schema.Demand{Service: s.Service, Queue: s.Queue, MilliCpu: s.Own})
 		}
 	}
 }
 
+// shares publishes what a coordinator tells of its queues; others leave the metrics.
+func (m *metricSet) shares(list []coordinator.ShareState) {
+	shown := make(map[string]bool, len(list))
+	for _, s := range list {
+		labels := fmt.Sprintf("{service=%q,queue=%q}", s.Service, s.Queue)
+		shown[labels] = true
+		m.share(labels, s)
+	}
+	for labels := range m.queues {
+		if !shown[labels] {
+			for _, name := range []string{queueDemand, queueShare, surplusJobs, surplusRefusals} {
+				m.set.UnregisterMetric(name + labels)
+			}
+		}
+	}
+	m.queues = shown
+}
+
+// Names of the metrics of a queue.
+const (
+	queueDemand     = "lavendercleat_queue_demand_cores"
+	queueShare      = "lavendercleat_queue_share_cores"
+	surplusJobs     = "lavendercleat_surplus_jobs_total"
+	surplusRefusals = "lavendercleat_surplus_refusals_total"
+)
+
 // share publishes a queue's demand and share in this failure domain, and this daemon's jobs
 // beyond it.
-func (m *metricSet) share(s coordinator.ShareState) {
-	labels := fmt.Sprintf("{service=%q,queue=%q}", s.Service, s.Queue)
-	m.set.GetOrCreateGauge("lavendercleat_queue_demand_cores"+labels, nil).Set(s.Demand / 1000)
-	m.set.GetOrCreateGauge("lavendercleat_queue_share_cores"+labels, nil).Set(s.Share / 1000)
-	m.set.GetOrCreateCounter("lavendercleat_surplus_jobs_total" + labels).Set(s.Surplus)
-	m.set.GetOrCreateCounter("lavendercleat_surplus_refusals_total" + labels).Set(s.Refused)
+func (m *metricSet) share(labels string, s coordinator.ShareState) {
+	m.set.GetOrCreateGauge(queueDemand+labels, nil).Set(s.Demand / 1000)
+	m.set.GetOrCreateGauge(queueShare+labels, nil).Set(s.Share / 1000)
+	m.set.GetOrCreateCounter(surplusJobs + labels).Set(s.Surplus)
+	m.set.GetOrCreateCounter(surplusRefusals + labels).Set(s.Refused)
 }
 
 // demandsFromPulse takes what a peer's callers ask for.
--- a/internal/node/demands_test.go
+++ b/internal/node/demands_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -29,3 +30,17 @@
 		assert.Equal(t, got[0].Surplus, surplus)
 	}
 }
+
+// A queue that is forgotten stays on the metrics with its last demand.
+func TestForgottenQueueLeavesTheMetrics(t *testing.T) {
+	m := newMetricSet()
+	old, used := coordinator.ShareState{Service: "s", Queue: "old", Demand: 5}, coordinator.ShareState{Service: "s", Queue: "used"}
+	m.shares([]coordinator.ShareState{old, used})
+	assert.Equal(t, len(m.set.ListMetricNames()), 8)
+	m.shares([]coordinator.ShareState{used})
+	names := m.set.ListMetricNames()
+	assert.Equal(t, len(names), 4, "%v", names)
+	for _, n := range names {
+		assert.Assert(t, !strings.Contains(n, "old"), n)
+	}
+}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -15,7 +15,11 @@
 )
 
 // metricSet holds the daemon's counters.
-type metricSet struct{ set *metrics.Set }
+type metricSet struct {
+	set *metrics.Set
+	// queues are the labels of the queues that are published, under the daemon's lock.
+	queues map[string]bool
+}
 
 func newMetricSet() *metricSet { return &metricSet{set: metrics.NewSet()} }
 
