--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -13,8 +13,8 @@
 	returning time.Duration
 }
 
-// band names the jobs of a service within their shares, or those beyond: the latter wait behind
-// the former, and what either observes says nothing of the other.
+// band names the jobs of a service within their shares, or those beyond. The latter wait behind
+// the former, so the callers of either are told apart when to come back.
 type band struct {
 	service string
 	surplus bool
@@ -96,8 +96,8 @@
 
 const (
 	// returnShare is the part of its room that a daemon counts on for callers that come back.
-	// With 0.25, 0.5 and 1 of it nearly all, 99% and 95% of a burst's callers were served at
-	// 75% load; less makes them wait for longer than they have to.
+	// New callers take the rest: with more of it some that come back would be refused again, with
+	// less they would wait for longer than they have to.
 	returnShare = 0.25
 	// maxRetryAfter bounds the time after which a refused caller is told to come back.
 	maxRetryAfter = 5 * time.Second
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -21,7 +21,7 @@
 	// maxOffers bounds the tries to place one task.
 	maxOffers = 12
 	// maxRoomOffers is how often a task is offered to executors that told of room for it, one
-	// after the other, before it waits at one of them. Each costs a round trip of 2 ms.
+	// after the other, before it waits at one of them. Each costs a round trip.
 	maxRoomOffers = 4
 	// maxPark bounds the wait of a job for any worker at all; a quarter of its time does too.
 	maxPark = 700 * time.Millisecond
@@ -82,7 +82,7 @@
 	histories map[string]*history
 	// held: tasks of kept jobs are not offered, as this daemon may have lost its title to them.
 	held bool
-	// pressures is what was observed of the load, by service and band.
+	// pressures is what was done about the load, by service and band.
 	pressures map[band]*pressure
 	shares    shares
 	// expected is how many workers there are while executors have not told of most; else 0.
--- a/coordinator/cost_test.go
+++ b/coordinator/cost_test.go
@@ -63,8 +63,7 @@
 	}
 }
 
-// Load: an overload. Each job without room was tried out in a new copy of what all executors told, 50 KB
-// for 350 workers. The copy is of what they told last, and the trial changes nothing of that.
+// Load: an overload. Each job without room was tried out in a new copy of what all executors told. The copy is of what they told last, and the trial changes nothing of that.
 func TestTryingOutMakesLittleGarbage(t *testing.T) {
 	r := newRig(t)
 	for n := range uint64(4) {
--- a/coordinator/rebalance.go
+++ b/coordinator/rebalance.go
@@ -14,8 +14,7 @@
 
 // rebalance asks for tasks back that wait at one executor while another one has room: the
 // executor reports them as not run, and they are offered again. Without it a task stays
-// where the shortest wait was expected when it came, and at 70% load one in four tasks that
-// waited did so while there was room elsewhere.
+// where the shortest wait was expected when it came, also while there is room elsewhere.
 func (c *Coordinator) rebalance(now time.Duration) {
 	var waiting []*jobTask
 	for _, j := range c.jobs {
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -93,8 +93,8 @@
 	r.holders = slices.Insert(r.holders, at, &h)
 }
 
-// copyTo makes p a copy for trying out where tasks would go. What p has is used again: a copy of all
-// workers for each job that finds no room would be most of the garbage of an overload.
+// copyTo makes p a copy for trying out where tasks would go. What p has is used again, as in
+// an overload each job that finds no room needs such a copy.
 func (r *rooms) copyTo(p *rooms) {
 	p.retired, p.paces = r.retired, r.paces
 	for len(p.holders) < len(r.holders) {
--- a/executor/backlog.go
+++ b/executor/backlog.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		if last == nil || last.Service != q.task.Service {
-			// Looked up for each task, it was most of what a long queue costs at each event.
+			// A look-up for each task of a long queue would cost more than the rest.
 			if last != nil {
 				all[last.Service] = b
 			}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -323,9 +323,8 @@
 	e.releaseHolds(func(h hold) bool { return now >= h.until })
 	rest, left := e.queue[:0], e.roomLeft(now)
 	for _, q := range e.queue {
-		// In overload hardly any task that waits has room: searched for each at each step, it was
-		// most of what a daemon's processor did, and what ended meanwhile was noticed late. The same
-		// goes for slow workers, which stand free while tasks wait for others.
+		// In an overload hardly any task that waits has room, or it has it on slow workers only, which
+		// stand free. With a search for each at each step, ends would be noticed late.
 		if left.mayTake(now, q.task) {
 			if w := e.place(now, q.task); w != nil {
 				e.startOrHold(now, w, q)
--- a/executor/latency.go
+++ b/executor/latency.go
@@ -12,8 +12,8 @@
 	// minSuspicion is the least time after which a start without an answer is asked after,
 	// beside the order, which is waited for on. A worker takes a few ms. The question costs one
 	// look at the worker, and settles by itself what the order's answer would have; so it can
-	// be asked sooner than an order can be given up. With 15 ms, starts that a busy machine
-	// held up for 30 were barred as they came, and their tasks started once more.
+	// be asked sooner than an order can be given up. Asked too soon, starts that a busy machine
+	// holds up would be barred as they come, and their tasks started once more.
 	minSuspicion = 30 * time.Millisecond
 	// answerGain and deviationGain are the weights of one answer in the mean time and in the
 	// mean deviation, deviations how many of these are added; as TCP does for its round trips,
--- a/fleet/assign.go
+++ b/fleet/assign.go
@@ -22,9 +22,8 @@
 
 const (
 	// workersPerCore is how many workers a daemon holds for each core of its processor where
-	// others of its failure domain can carry the rest. A worker of tasks of 60 ms to 1 s gets
-	// six starts a second, and all that daemons do for a task takes 1.2 ms of a core at most:
-	// three quarters of what the holder has, were it to do all of it.
+	// others of its failure domain can carry the rest: with tasks of some tenths of a second it
+	// has processor left then, were it to do alone all that daemons do for these tasks.
 	workersPerCore = 100
 	// minHolders is the least number of holders in a failure domain, if it has as many
 	// daemons: when one is lost, the other's workers serve on while the rest are taken over.
@@ -64,10 +63,7 @@
 // many as can carry so many workers. Few holders with many workers each place tasks better
 // than many with few: a task that is large for a worker fits more often, and what waits is
 // started by its urgency among more, where coordinators would have to guess at which of many
-// queues there is room next. In the load model, with two thirds of the room left for tasks
-// that take half of a worker, 5 and 10 of 100 short jobs come late, or are refused, at two
-// rates with 39 workers a holder, and 27 and 40 with four. Where processors are not known, all
-// hold workers.
+// queues there is room next. Where processors are not known, all hold workers.
 func carriers(workers int, members []Member) []Member {
 	if slices.ContainsFunc(members, func(m Member) bool { return m.Weight <= 0 }) {
 		return members
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -10,15 +10,14 @@
 	// than that left until the peer counts as lost.
 	slowestHeartbeat = 200 * time.Millisecond
 	// heartbeatsPerSecond is how many heartbeats a daemon sends to all its peers together
-	// while their interval may still grow. Sending and receiving one costs some 30 µs of a
-	// small daemon's processor, and with an interval of 100 ms the heartbeats of 36 daemons
-	// took half of all that they spent.
+	// while their interval may still grow. A small daemon among many peers would else
+	// spend much of its processor on them.
 	heartbeatsPerSecond = 100
 )
 
 // HeartbeatInterval is the time between a daemon's heartbeats to each of its peers. It
 // grows with their number, so that what a daemon spends on heartbeats doesn't. Where peers
-// are many, older news of their room costs nothing: of 36 some have room in any case.
+// are many, older news of their room costs nothing: some of them have room in any case.
 func HeartbeatInterval(peers int) time.Duration {
 	return min(max(time.Duration(peers)*time.Second/heartbeatsPerSecond, FastestHeartbeat), slowestHeartbeat)
 }
--- a/internal/node/fleetview.go
+++ b/internal/node/fleetview.go
@@ -35,7 +35,7 @@
 	// it refuses jobs for want of room. It bounds the wait where some workers are never taken.
 	assembleTime = 3 * time.Second
 	// dropPace is the pause between looks at all entries for those that have been missing for
-	// too long: at a thousand entries a look with each tick took 3% of a busy daemon's time.
+	// too long: of a large fleet, a look with each tick would take a part of a busy daemon's time.
 	dropPace = 200 * time.Millisecond
 	// minorityWait is how long a daemon that has lost half of its peers to silence
 	// leaves their workers alone: it is more likely cut off itself, and would take
--- a/internal/node/garbage_test.go
+++ b/internal/node/garbage_test.go
@@ -13,7 +13,7 @@
 )
 
 // Load: a holder of 40 workers handles thousands of events a second on a small processor. Each
-// made 5 KB of garbage by describing all of its workers to its own coordinator.
+// made garbage by describing all of its workers to its own coordinator.
 func TestEventsMakeLittleGarbage(t *testing.T) {
 	n := newIdle(t)
 	var workers []executor.WorkerInfo
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -247,8 +247,8 @@
 
 // ownHolder is what this daemon's executor has left.
 func (n *Node) ownHolder(now time.Duration) coordinator.Holder {
-	// Told at each event, its list would be most of the garbage that a busy daemon makes. The
-	// coordinator keeps only what it was told last.
+	// The list is used again, as it is told at each event. The coordinator keeps only what it was
+	// told last.
 	n.ownRooms = n.executor.AppendRooms(n.ownRooms[:0], now)
 	return coordinator.Holder{
 		Process: n.self.Process, Domain: n.self.Domain, Rooms: n.ownRooms, Backlog: n.executor.Backlog(now), Heard: now,
