--- a/coordinator/paces.go
+++ b/coordinator/paces.go
@@ -12,9 +12,9 @@
 const (
 	// minPaces is how many workers' paces tell what is usual.
 	minPaces = 4
-	// usualFor is how long the usual pace is used before it is found anew: paces are told with
+	// usualAge is for how long the usual pace is used before it is found anew: paces are told with
 	// heartbeats.
-	usualFor = 100 * time.Millisecond
+	usualAge = 100 * time.Millisecond
 	// slowRatio is how many times as long as usual runs take on a worker that counts as slow;
 	// less is chance, or makes no task late.
 	slowRatio = 1.3
@@ -44,7 +44,7 @@
 }
 
 func (r *rooms) usualPaces(now time.Duration) map[string]float64 {
-	if r.paces.usual != nil && now-r.paces.at < usualFor {
+	if r.paces.usual != nil && now-r.paces.at < usualAge {
 		return r.paces.usual
 	}
 	told := make(map[string][]float64)
--- a/executor/speed.go
+++ b/executor/speed.go
@@ -153,12 +153,12 @@
 		// It may have run at two paces; the last one counts.
 		if s, ok := r.window(now, now-r.lastMark, 100); ok {
 			s.ended = true
-			e.witness(now, w, s)
+			e.judgePace(now, w, s)
 		}
 		return
 	}
 	if ratio, ok := r.ratio(now - r.began); ok {
-		e.witness(now, w, sight{run: r, least: ratio, most: ratio, from: r.began, ended: true})
+		e.judgePace(now, w, observation{run: r, least: ratio, most: ratio, from: r.began, ended: true})
 	}
 }
 
--- a/executor/suspect.go
+++ b/executor/suspect.go
@@ -50,9 +50,9 @@
 	from, at time.Duration
 }
 
-// sight is what one run shows of its worker's pace from a time on: bounds of actual over
+// observation is what one run shows of its worker's pace from a time on: bounds of actual over
 // declared time, as logarithms.
-type sight struct {
+type observation struct {
 	run         *run
 	least, most float64
 	from        time.Duration
@@ -62,7 +62,7 @@
 }
 
 // overlaps reports whether most of what was seen is of a time from which on another run stood out.
-func (s *sight) overlaps(now time.Duration, o odd) bool { return s.from+(now-s.from)/2 >= o.from }
+func (s *observation) overlaps(now time.Duration, o odd) bool { return s.from+(now-s.from)/2 >= o.from }
 
 // stepKey names a step of a job.
 type stepKey struct {
@@ -113,11 +113,11 @@
 	}
 }
 
-// witness judges a worker by what a run shows. Declared times are off, by one error for all
+// judgePace judges a worker by what a run shows. Declared times are off, by one error for all
 // tasks of a job, and a few jobs take many times as long as declared wherever they run. So a
 // worker counts as slow at once only by two jobs that stand out, or by one whose other tasks
 // run as usual elsewhere; what stands out alone counts for no more than jump.
-func (e *Executor) witness(now time.Duration, w *worker, s sight) {
+func (e *Executor) judgePace(now time.Duration, w *worker, s observation) {
 	usual, step := e.usualFor(w.info.Service), e.stepOf(now, s.run.id)
 	factor, compared := step.factor(w)
 	if e.slowness(w) <= 1 {
@@ -160,14 +160,14 @@
 	}
 }
 
-func (e *Executor) asUsual(w *worker, s sight, mean float64) {
+func (e *Executor) asUsual(w *worker, s observation, mean float64) {
 	e.setPace(w, mean)
 	w.probeAt, w.probePause = 0, 0
 	e.event(EventUsual, w, s.run, fmt.Sprintf("ratio=%.2f", math.Exp(mean)))
 }
 
 // refute drops a suspicion when a run of another job was as usual meanwhile: then it was the job.
-func (e *Executor) refute(now time.Duration, w *worker, s sight) {
+func (e *Executor) refute(now time.Duration, w *worker, s observation) {
 	o := w.pace.odd
 	if o.job == "" || o.job != s.run.id.Job && !s.overlaps(now, o) {
 		return
@@ -184,7 +184,7 @@
 }
 
 // standsOut takes a run that takes far longer than its worker's usually do.
-func (e *Executor) standsOut(now time.Duration, w *worker, s sight, reference float64, compared bool) {
+func (e *Executor) standsOut(now time.Duration, w *worker, s observation, reference float64, compared bool) {
 	job, o := s.run.id.Job, w.pace.odd
 	switch {
 	case e.stepOf(now, s.run.id).long:
@@ -203,7 +203,7 @@
 	}
 }
 
-func (e *Executor) slow(now time.Duration, w *worker, s sight, mean float64) {
+func (e *Executor) slow(now time.Duration, w *worker, s observation, mean float64) {
 	e.setPace(w, mean)
 	w.probePause = probePause
 	w.probeAt = now + w.probePause
@@ -214,7 +214,7 @@
 func (e *Executor) watch(now time.Duration, w *worker, clockMS int64) {
 	for _, r := range w.sorted() {
 		if s, ok := r.progress(now, clockMS); ok {
-			e.witness(now, w, s)
+			e.judgePace(now, w, s)
 		}
 	}
 	if len(w.runs) == 0 {
@@ -225,9 +225,9 @@
 
 // progress tells the pace of a run since it was last told. Runs that may go on from a
 // checkpoint tell nothing.
-func (r *run) progress(now time.Duration, clockMS int64) (sight, bool) {
+func (r *run) progress(now time.Duration, clockMS int64) (observation, bool) {
 	if r.state != running || r.task == nil || r.deadline == 0 || r.task.Kept || r.since == 0 {
-		return sight{}, false
+		return observation{}, false
 	}
 	if r.markedAt == 0 {
 		r.markedAt = r.since
@@ -240,13 +240,13 @@
 }
 
 // window tells the pace of a run over a time in which it has come to a percentage.
-func (r *run) window(now, window time.Duration, percent int) (sight, bool) {
+func (r *run) window(now, window time.Duration, percent int) (observation, bool) {
 	ratio, ok := r.ratio(window)
 	if !ok || window < max(minWindow, time.Duration(windowShare*float64(r.task.Expected))) {
-		return sight{}, false
+		return observation{}, false
 	}
 	grown := float64(percent-r.marked) / 100
-	s := sight{run: r, from: now - window, least: ratio - math.Log(grown+0.01), most: ratio - math.Log(max(grown-0.01, 0.001))}
+	s := observation{run: r, from: now - window, least: ratio - math.Log(grown+0.01), most: ratio - math.Log(max(grown-0.01, 0.001))}
 	if !r.seen {
 		r.seen, r.first = true, [2]float64{s.least, s.most}
 	}
