--- a/coordinator/reserve.go
+++ b/coordinator/reserve.go
@@ -25,11 +25,7 @@
 	// The offer has taken the place of a reservation there; lost executors have forgotten theirs.
 	t.reserved = slices.DeleteFunc(t.reserved, func(p member.Process) bool { return p == t.holder || c.rooms.get(p) == nil })
 	var usable []member.Process
-	holders, all := c.rooms.holdersFor(now, &t.Task)
-	if len(holders) == 0 {
-		holders = all
-	}
-	for _, h := range holders {
+	for _, h := range c.rooms.holdersFor(now, &t.Task) {
 		if h.Process != t.holder && !slices.Contains(t.reserved, h.Process) {
 			usable = append(usable, h.Process)
 		}
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -229,10 +229,7 @@
 // wait. The shortest of all would be the choice of all coordinators until its next
 // heartbeat. Nil when no worker may run the task.
 func (r *rooms) queue(now time.Duration, t *task.Task) *Holder {
-	usable, fallback := r.holdersFor(now, t)
-	if len(usable) == 0 {
-		usable = fallback
-	}
+	usable := r.holdersFor(now, t)
 	n := uint64(len(usable))
 	switch n {
 	case 0:
@@ -249,9 +246,10 @@
 	return first
 }
 
-// holdersFor returns the executors with a worker for the task that isn't too slow, and those
-// with any.
-func (r *rooms) holdersFor(now time.Duration, t *task.Task) (inTime, all []*Holder) {
+// holdersFor returns the executors with a worker for the task that isn't too slow; where there
+// is none, those with any.
+func (r *rooms) holdersFor(now time.Duration, t *task.Task) []*Holder {
+	var inTime, all []*Holder
 	usual := r.usualRatio(now, t.Service)
 	for _, h := range r.holders {
 		if !h.offerable(now) {
@@ -265,7 +263,10 @@
 			all = append(all, h)
 		}
 	}
-	return inTime, all
+	if len(inTime) == 0 {
+		return all
+	}
+	return inTime
 }
 
 // serves reports whether a worker of the service is known.
