--- a/executor/place.go
+++ b/executor/place.go
@@ -108,9 +108,19 @@
 // lateBy reports whether the task is probably late on a worker that takes so many times as long
 // as usual.
 func lateBy(now time.Duration, t *task.Task, slowness float64) bool {
-	return slowness > 1 && now+time.Duration(declaredMargin*slowness*float64(t.Expected)) > t.Due
+	return slowness > 1 && outlasts(now, t, slowness, t.Due)
 }
 
+// outlasts reports whether the task, started now where it takes so many times as long as usual,
+// probably ends after a time.
+func outlasts(now time.Duration, t *task.Task, slowness float64, by time.Duration) bool {
+	return now+time.Duration(declaredMargin*slowness*float64(t.Expected)) > by
+}
+
+// callerDeadline is when the task's caller gives up. Coordinators tell by when it may start, with
+// half of its time left.
+func callerDeadline(t *task.Task) time.Duration { return t.StartBy + t.Expected/2 }
+
 // mayWait reports whether a task that starts later on a usual worker may still be on time.
 func mayWait(now time.Duration, t *task.Task) bool {
 	return now+t.Expected <= t.Due
@@ -129,8 +139,7 @@
 	if mayWait(now, t) && (t.Label == "" || e.faster(now, t)) {
 		return true
 	}
-	deadline := t.StartBy + t.Expected/2
-	return !t.Kept && now+time.Duration(declaredMargin*slowness*float64(t.Expected)) > deadline && e.faster(now, t)
+	return !t.Kept && outlasts(now, t, slowness, callerDeadline(t)) && e.faster(now, t)
 }
 
 // faster reports whether a worker in use would run the task as usual.
--- a/executor/probe.go
+++ b/executor/probe.go
@@ -69,7 +69,7 @@
 		if r.state != running || r.task == nil || r.deadline == 0 || r.discard || r.task.Kept || len(r.task.Avoid) > 0 || !r.seen {
 			continue
 		}
-		end, deadline := r.foreseenEnd(now, w.pace.mean), r.task.StartBy+r.task.Expected/2
+		end, deadline := r.foreseenEnd(now, w.pace.mean), callerDeadline(r.task)
 		inTime := end > r.task.Due && e.restartable(now, r.task, r.task.Due) && e.roomBeside(now, w, r.task)
 		inVain := end > deadline && e.restartable(now, r.task, deadline)
 		if !inTime && !inVain {
