--- a/coordinator/rebalance.go
+++ b/coordinator/rebalance.go
@@ -14,8 +14,7 @@
 
 // rebalance asks for tasks back that wait at one executor while another one has room: the
 // executor reports them as not run, and they are offered again. Without it a task stays
-// where the shortest wait was expected when it came, and at 70% load one in four tasks that
-// waited did so while there was room elsewhere.
+// where the shortest wait was expected when it came, also while there is room elsewhere.
 func (c *Coordinator) rebalance(now time.Duration) {
 	var waiting []*jobTask
 	for _, j := range c.jobs {
@@ -38,11 +37,6 @@
 
 // reclaim asks an executor for a task, in one message with others.
 func (c *Coordinator) reclaim(t *jobTask) {
-	for i := range c.out.Messages {
-		if m := &c.out.Messages[i]; m.To == t.holder && m.Reclaim != nil {
-			m.Reclaim = append(m.Reclaim, t.ID)
-			return
-		}
-	}
-	c.out.Messages = append(c.out.Messages, Message{To: t.holder, Reclaim: []task.ID{t.ID}})
+	m := c.message(t.holder, func(m *Message) bool { return m.Reclaim != nil })
+	m.Reclaim = append(m.Reclaim, t.ID)
 }
--- a/coordinator/rooms.go
+++ b/coordinator/rooms.go
@@ -93,8 +93,8 @@
 	r.holders = slices.Insert(r.holders, at, &h)
 }
 
-// copyTo makes p a copy for trying out where tasks would go. What p has is used again: a copy of all
-// workers for each job that finds no room would be most of the garbage of an overload.
+// copyTo makes p a copy for trying out where tasks would go. What p has is used again, as in
+// an overload each job that finds no room needs such a copy.
 func (r *rooms) copyTo(p *rooms) {
 	p.retired, p.paces = r.retired, r.paces
 	for len(p.holders) < len(r.holders) {
@@ -229,10 +229,7 @@
 // wait. The shortest of all would be the choice of all coordinators until its next
 // heartbeat. Nil when no worker may run the task.
 func (r *rooms) queue(now time.Duration, t *task.Task) *Holder {
-	usable, fallback := r.holdersFor(now, t)
-	if len(usable) == 0 {
-		usable = fallback
-	}
+	usable := r.holdersFor(now, t)
 	n := uint64(len(usable))
 	switch n {
 	case 0:
@@ -249,9 +246,10 @@
 	return first
 }
 
-// holdersFor returns the executors with a worker for the task that isn't too slow, and those
-// with any.
-func (r *rooms) holdersFor(now time.Duration, t *task.Task) (inTime, all []*Holder) {
+// holdersFor returns the executors with a worker for the task that isn't too slow; where there
+// is none, those with any.
+func (r *rooms) holdersFor(now time.Duration, t *task.Task) []*Holder {
+	var inTime, all []*Holder
 	usual := r.usualRatio(now, t.Service)
 	for _, h := range r.holders {
 		if !h.offerable(now) {
@@ -265,7 +263,10 @@
 			all = append(all, h)
 		}
 	}
-	return inTime, all
+	if len(inTime) == 0 {
+		return all
+	}
+	return inTime
 }
 
 // serves reports whether a worker of the service is known.
