--- a/internal/httpstop/httpstop.go
+++ b/internal/httpstop/httpstop.go
@@ -37,6 +37,7 @@
 
 // Serve takes connections until the stop.
 func (s *Server) Serve(l net.Listener) error {
+	l = &onceListener{Listener: l}
 	s.mu.Lock()
 	s.listener, s.listening = l, true
 	s.mu.Unlock()
@@ -49,6 +50,20 @@
 	return err
 }
 
+// onceListener is closed once: the server closes it again at its end, and would tell that as the
+// failure of a stop that has gone well, unless its own Accept has noticed the first time already.
+type onceListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close implements net.Listener.
+func (l *onceListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
 func (s *Server) follow(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/httpstop/httpstop_test.go
+++ b/internal/httpstop/httpstop_test.go
@@ -118,3 +118,41 @@
 	assert.NilError(t, s.server.Stop(ctx))
 	assert.ErrorIs(t, s.answer(), io.ErrUnexpectedEOF)
 }
+
+// slowListener notices its closing only when it is told to.
+type slowListener struct {
+	net.Listener
+	noticed chan struct{}
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.noticed
+	}
+	return c, err
+}
+
+// A stop of a busy process: its listener is closed before the server has noticed. Told as a failure,
+// the daemon ended with exit code 1 after a stop that had gone well.
+func TestStopBeforeTheListenerNotices(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := slowListener{inner, make(chan struct{})}
+	s := New(&http.Server{})
+	served := make(chan error)
+	go func() { served <- s.Serve(l) }()
+	for !s.serving() {
+		time.Sleep(time.Millisecond)
+	}
+	time.AfterFunc(20*look, func() { close(l.noticed) })
+	assert.NilError(t, s.Stop(t.Context()))
+	assert.ErrorIs(t, <-served, http.ErrServerClosed)
+}
+
+// serving reports whether the server's own list has the listener, as it accepts from then on.
+func (s *Server) serving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listening
+}
