--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -25,6 +25,7 @@
 	ackTimeout = 4000 * time.Millisecond
 	cancelTime = 3000 * time.Millisecond
 	visible    = 3000 * time.Millisecond
+	grace      = 6 * time.Second
 	leadTime   = 10 * time.Second
 )
 
@@ -226,7 +227,20 @@
 	s.log.add(event{kind: "daemon-killed", where: d.name})
 }
 
-// ended returns the names of the daemons that ended by themselves.
+// terminate stops a daemon as the platform does: SIGTERM, and SIGKILL after grace-s.
+func (s *system) terminate(d *daemon) {
+	s.log.add(event{kind: "daemon-terminated", where: d.name})
+	_ = d.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-d.done:
+	case <-time.After(grace):
+		_ = d.cmd.Process.Signal(syscall.SIGKILL)
+		<-d.done
+	}
+	s.log.add(event{kind: "daemon-ended", where: d.name})
+}
+
+// stop ends all daemons and removes their files.
 func (s *system) stop() {
 	for _, d := range s.daemons {
 		if d.cmd != nil && d.cmd.Process != nil {
