--- a/review/harness/cancel.go
+++ b/review/harness/cancel.go
@@ -37,7 +37,7 @@
 	})
 	time.Sleep(500 * time.Millisecond)
 	if trouble {
-		s.store.loseWrites.Store(350)
+		s.loseWrites(350)
 		s.log.note("the store loses the answers of 35%% of the writes")
 	}
 	begun := time.Now()
@@ -58,7 +58,7 @@
 		}
 	})
 	time.Sleep(time.Until(begun.Add(troubleTime)))
-	s.store.loseWrites.Store(0)
+	s.loseWrites(0)
 	sound := s.log.now()
 	s.log.note("the store is sound")
 	time.Sleep(20 * time.Second)
@@ -81,3 +81,10 @@
 	}
 	return breaches
 }
+
+// loseWrites sets the share of the writes, in thousandths, that the store does and doesn't answer.
+func (s *system) loseWrites(share int64) {
+	for _, d := range s.daemons {
+		d.store.loseWrites.Store(share)
+	}
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,9 @@
 // cases are the cases by name. Each returns the breaches of its rule that it has seen.
 var cases = map[string]func(s *system, trouble bool) (breaches []string){}
 
+// withCuts are the cases that cut machines off from each other.
+var withCuts = map[string]bool{"soak": true, "partition": true, "cuts": true}
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		cannotRun("usage: harness CASE RECORD")
@@ -27,7 +30,7 @@
 		cannotRun("stopped by a signal")
 	}()
 	log := newEventLog(os.Args[2])
-	s := startSystem(log)
+	s := startSystem(log, withCuts[os.Args[1]])
 	breaches := cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0")
 	s.stop()
 	for _, b := range breaches {
--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -53,6 +53,9 @@
 	name, zone, ip, settings string
 	cmd                      *exec.Cmd
 	done                     chan struct{}
+	// store is the daemon's path to the store. peers is the proxy in front of its address for peers.
+	store *storeFront
+	peers *peerProxy
 }
 
 // system is a small deployment: six daemons and 48 workers in three zones, and the platform's store.
@@ -63,6 +66,8 @@
 	daemons []*daemon
 	dir     string
 	net     int
+	// cuts: a proxy stands in front of each daemon's address for peers.
+	cuts bool
 }
 
 // daemonZones are the zones of the daemons of poddasze-prod.
@@ -72,12 +77,12 @@
 	return map[string]int{"krk-a": 1, "krk-b": 2, "kat-c": 3}[zone]
 }
 
-func startSystem(log *eventLog) *system {
+func startSystem(log *eventLog, cuts bool) *system {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	s := &system{log: log, dir: dir, net: 64 + rand.IntN(128)}
+	s := &system{log: log, dir: dir, net: 64 + rand.IntN(128), cuts: cuts}
 	current = s
 	s.store = startStore(s.ip(200, 1), log)
 	s.store.store.Put("op/config", map[string]any{
@@ -98,7 +103,11 @@
 	for i, zone := range daemonZones {
 		s.daemons = append(s.daemons, &daemon{name: fmt.Sprintf("edge-%s-%d", zone, i), zone: zone, ip: s.ip(zoneNumber(zone), i+1)})
 	}
-	for _, d := range s.daemons {
+	for i, d := range s.daemons {
+		d.store = s.store.front(s.ip(200, 10+i))
+		if s.cuts {
+			d.peers = startPeerProxy(d.ip+":8166", d.ip+":7722")
+		}
 		s.writeSettings(d, true)
 		s.startDaemon(d)
 	}
@@ -184,7 +193,7 @@
 history-s = 20
 value-bytes = 1048576
 min-ttl-ms = 1000
-`, d.name, d.ip, d.zone, s.daemons[0].ip, s.daemons[2].ip, s.daemons[5].ip, s.store.address(), bootstrap)
+`, d.name, d.ip, d.zone, s.daemons[0].ip, s.daemons[2].ip, s.daemons[5].ip, d.store.address(), bootstrap)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		cannotRun("%v", err)
 	}
@@ -194,6 +203,9 @@
 func (s *system) startDaemon(d *daemon) {
 	d.cmd = exec.Command(filepath.Join("target", "lavendercleat"), "node", "--metrics-port=9464", "--gc-percent=100")
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "LAVENDERCLEAT_SETTINGS=" + d.settings}
+	if d.peers != nil {
+		d.cmd.Env = append(d.cmd.Env, "LAVENDERCLEAT_PEER_LISTEN="+d.peers.target)
+	}
 	out, err := os.OpenFile(filepath.Join(s.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		cannotRun("%v", err)
@@ -318,3 +330,85 @@
 	}
 	wg.Wait()
 }
+
+// peerProxy passes the connections of peers to a daemon. While it is cut, nothing passes in either direction.
+type peerProxy struct {
+	target string
+	mu     sync.Mutex
+	cut    bool
+	lifted chan struct{}
+}
+
+func startPeerProxy(address, target string) *peerProxy {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		cannotRun("%v", err)
+	}
+	p := &peerProxy{target: target, lifted: make(chan struct{})}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.pass(c)
+		}
+	}()
+	return p
+}
+
+func (p *peerProxy) setCut(cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cut && !cut {
+		close(p.lifted)
+		p.lifted = make(chan struct{})
+	}
+	p.cut = cut
+}
+
+// wait waits while the proxy is cut.
+func (p *peerProxy) wait() {
+	for {
+		p.mu.Lock()
+		cut, lifted := p.cut, p.lifted
+		p.mu.Unlock()
+		if !cut {
+			return
+		}
+		<-lifted
+	}
+}
+
+func (p *peerProxy) pass(c net.Conn) {
+	defer c.Close()
+	p.wait()
+	t, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		if tc, ok := c.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0)
+		}
+		return
+	}
+	defer t.Close()
+	done := make(chan struct{}, 2)
+	copyData := func(to, from net.Conn) {
+		b := make([]byte, 32<<10)
+		for {
+			n, err := from.Read(b)
+			p.wait()
+			if n > 0 {
+				if _, err := to.Write(b[:n]); err != nil {
+					break
+				}
+			}
+			if err != nil {
+				break
+			}
+		}
+		done <- struct{}{}
+	}
+	go copyData(t, c)
+	go copyData(c, t)
+	<-done
+}
