--- a/review/harness/cuts.go
+++ b/review/harness/lost.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["cuts"] = machineIsTurnedAwayAndCutOff }
+func init() { cases["lost"] = machineIsTurnedAwayAndCutOff }
 
 // finish is finish_s.
 const finish = 14 * time.Second
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,7 +17,7 @@
 var cases = map[string]func(s *system, trouble bool) (breaches []string){}
 
 // withCuts are the cases that cut machines off from each other.
-var withCuts = map[string]bool{"soak": true, "partition": true, "cuts": true}
+var withCuts = map[string]bool{"soak": true, "partition": true, "lost": true}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
