--- a/internal/node/durable.go
+++ b/internal/node/durable.go
@@ -275,6 +275,7 @@
 
 // Cancel implements Dispatcher.
 func (n *Node) Cancel(ctx context.Context, id string) Cancellation {
+	began := time.Now()
 	ctx, end := n.whileServing(ctx)
 	defer end()
 	var canceled bool
@@ -287,42 +288,67 @@
 		c = n.addCaller(id, true)
 	})
 	if canceled || c != nil && n.awaitEvent(ctx, id, c) == ledger.Ended {
+		n.logCancellation(id, CancelDone, canceledHere, began)
 		return CancelDone
 	}
 	for ctx.Err() == nil {
-		if out, done := n.cancelStored(ctx, id); done {
+		if out, by, done := n.cancelStored(ctx, id); done {
+			n.logCancellation(id, out, by, began)
 			return out
 		}
 		clock.Sleep(ctx, writeRetryDelay)
 	}
+	n.logCancellation(id, CancelUncertain, canceledUnknown, began)
 	return CancelUncertain
 }
 
+// canceledBy states how a cancellation got its result, for logs and metrics.
+type canceledBy string
+
+// Ways to the result of a cancellation.
+const (
+	// canceledHere: this daemon ran the job.
+	canceledHere canceledBy = "here"
+	// canceledInStore: this daemon ended the job of another daemon in the store.
+	canceledInStore canceledBy = "store"
+	// canceledBefore: the store showed no open job.
+	canceledBefore canceledBy = "before"
+	// canceledUnknown: no answer in time.
+	canceledUnknown canceledBy = "unknown"
+)
+
 // cancelStored cancels a job of another daemon in the store; done is false when the caller has to
 // retry.
-func (n *Node) cancelStored(ctx context.Context, id string) (out Cancellation, done bool) {
+func (n *Node) cancelStored(ctx context.Context, id string) (out Cancellation, by canceledBy, done bool) {
 	record, err := n.platform.Ledger.Get(ctx, ledger.Key{Kind: ledger.RecordEntry, ID: id})
 	if err != nil {
-		return 0, false
+		return 0, "", false
 	}
 	if record.Revision == 0 {
 		state, err := n.platform.Ledger.Get(ctx, ledger.Key{Kind: ledger.StateEntry, ID: id})
 		switch {
 		case err != nil:
-			return 0, false
+			return 0, "", false
 		case state.Revision == 0:
-			return NoSuchJob, true
+			return NoSuchJob, canceledBefore, true
 		}
-		return CancelDone, true
+		return CancelDone, canceledBefore, true
 	}
 	r, err := n.platform.Ledger.Write(ctx, ledger.Cancellation(id, record.Revision, time.Now()))
 	if err != nil || r.Revision == 0 {
-		return 0, false
+		return 0, "", false
 	}
 	n.update(func(now time.Duration) {
 		n.applyLedgerEvents(now, []ledger.Event{{Kind: ledger.Ended, Record: ledger.Record{Job: coordinator.Job{ID: id}}, State: ledger.Canceled}})
 	})
-	return CancelDone, true
+	return CancelDone, canceledInStore, true
+}
+
+func (n *Node) logCancellation(id string, out Cancellation, by canceledBy, began time.Time) {
+	n.metrics.countCancellation(out, by)
+	n.log.WithFields(logrus.Fields{
+		"event": "job_cancellation", "job": id, "verdict": out, "by": by, "waited_ms": time.Since(began).Milliseconds(),
+	}).Info()
 }
 
 func (n *Node) logAcceptance(r Request, a Acceptance) {
--- a/internal/node/interfaces.go
+++ b/internal/node/interfaces.go
@@ -118,6 +118,15 @@
 	CancelUncertain
 )
 
+// String returns the result's name in logs and metrics.
+func (c Cancellation) String() string {
+	names := [...]string{"none", "done", "no_such_job", "uncertain"}
+	if int(c) < len(names) {
+		return names[c]
+	}
+	return names[0]
+}
+
 // Refusal states why a request did not become a job.
 type Refusal string
 
--- a/internal/node/telemetry.go
+++ b/internal/node/telemetry.go
@@ -74,6 +74,9 @@
 func (m *metricSet) countDurableRequest(v AcceptanceVerdict, why coordinator.Reason) {
 	m.count("kept_requests", "verdict", v.String(), "reason", string(why))
 }
+func (m *metricSet) countCancellation(c Cancellation, by canceledBy) {
+	m.count("cancellations", "verdict", c.String(), "by", string(by))
+}
 func (m *metricSet) countLedgerEvent(k ledger.EventKind) { m.count("kept_jobs", "news", k.String()) }
 
 // observeEntriesAge records the age of the store's answer when the daemon applied entries.
