--- a/internal/node/durable.go
+++ b/internal/node/durable.go
@@ -1,4 +1,4 @@
-// Durable jobs: acceptance, state queries and cancellation.
+// Durable jobs: acceptance and state queries.
 
 package node
 
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lavendercleat/lavendercleat/coordinator"
-	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/internal/mesh"
 	"github.com/lavendercleat/lavendercleat/ledger"
 )
@@ -41,6 +40,8 @@
 	lookupInFlight bool
 	ownerWatch     ownerWatch
 	ownership      ownershipCheck
+	// added is signaled when the ledger gets a job.
+	added chan struct{}
 }
 
 // caller waits for the result of a job's acceptance or cancellation.
@@ -57,7 +58,7 @@
 			Owner: self.Incarnation, OwnershipID: fmt.Sprintf("%s-%x", self.Name, self.Incarnation), Retention: retention + stateMargin,
 		}),
 		waitingCallers: make(map[string][]*caller), states: newStates(), ownerWatch: newOwnerWatch(),
-		ownership: ownershipCheck{wake: make(chan struct{}, 1)},
+		ownership: ownershipCheck{wake: make(chan struct{}, 1)}, added: make(chan struct{}, 1),
 	}
 }
 
@@ -148,6 +149,7 @@
 		return refuse(reason, after)
 	}
 	d.ledger.Add(now, ledger.Record{Job: j, Route: r.Route.Name})
+	wake(d.added)
 	n.markLedgerInUse()
 	return n.addCaller(r.ID, false), Acceptance{}
 }
@@ -273,84 +275,6 @@
 	return counts
 }
 
-// Cancel implements Dispatcher.
-func (n *Node) Cancel(ctx context.Context, id string) Cancellation {
-	began := time.Now()
-	ctx, end := n.whileServing(ctx)
-	defer end()
-	var canceled bool
-	var c *caller
-	n.update(func(now time.Duration) {
-		if canceled = n.cancelNonDurable(now, id); canceled || !n.durable.ledger.Has(id) {
-			return
-		}
-		n.durable.ledger.SetFinalState(now, id, ledger.Canceled)
-		c = n.addCaller(id, true)
-	})
-	if canceled || c != nil && n.awaitEvent(ctx, id, c) == ledger.Ended {
-		n.logCancellation(id, CancelDone, canceledHere, began)
-		return CancelDone
-	}
-	for ctx.Err() == nil {
-		if out, by, done := n.cancelStored(ctx, id); done {
-			n.logCancellation(id, out, by, began)
-			return out
-		}
-		clock.Sleep(ctx, writeRetryDelay)
-	}
-	n.logCancellation(id, CancelUncertain, canceledUnknown, began)
-	return CancelUncertain
-}
-
-// canceledBy states how a cancellation got its result, for logs and metrics.
-type canceledBy string
-
-// Ways to the result of a cancellation.
-const (
-	// canceledHere: this daemon ran the job.
-	canceledHere canceledBy = "here"
-	// canceledInStore: this daemon ended the job of another daemon in the store.
-	canceledInStore canceledBy = "store"
-	// canceledBefore: the store showed no open job.
-	canceledBefore canceledBy = "before"
-	// canceledUnknown: no answer in time.
-	canceledUnknown canceledBy = "unknown"
-)
-
-// cancelStored cancels a job of another daemon in the store; done is false when the caller has to
-// retry.
-func (n *Node) cancelStored(ctx context.Context, id string) (out Cancellation, by canceledBy, done bool) {
-	record, err := n.platform.Ledger.Get(ctx, ledger.Key{Kind: ledger.RecordEntry, ID: id})
-	if err != nil {
-		return 0, "", false
-	}
-	if record.Revision == 0 {
-		state, err := n.platform.Ledger.Get(ctx, ledger.Key{Kind: ledger.StateEntry, ID: id})
-		switch {
-		case err != nil:
-			return 0, "", false
-		case state.Revision == 0:
-			return NoSuchJob, canceledBefore, true
-		}
-		return CancelDone, canceledBefore, true
-	}
-	r, err := n.platform.Ledger.Write(ctx, ledger.Cancellation(id, record.Revision, time.Now()))
-	if err != nil || r.Revision == 0 {
-		return 0, "", false
-	}
-	n.update(func(now time.Duration) {
-		n.applyLedgerEvents(now, []ledger.Event{{Kind: ledger.Ended, Record: ledger.Record{Job: coordinator.Job{ID: id}}, State: ledger.Canceled}})
-	})
-	return CancelDone, canceledInStore, true
-}
-
-func (n *Node) logCancellation(id string, out Cancellation, by canceledBy, began time.Time) {
-	n.metrics.countCancellation(out, by)
-	n.log.WithFields(logrus.Fields{
-		"event": "job_cancellation", "job": id, "verdict": out, "by": by, "waited_ms": time.Since(began).Milliseconds(),
-	}).Info()
-}
-
 func (n *Node) logAcceptance(r Request, a Acceptance) {
 	fields := logrus.Fields{"event": "job_accepted", "job": r.ID, "request": r.CallerID, "route": r.Route.Name, "verdict": a.Verdict}
 	if a.Verdict == Accepted {
--- a/internal/node/interfaces.go
+++ b/internal/node/interfaces.go
@@ -33,6 +33,8 @@
 	Registrar registry.Registrar
 	// Ledger stores accepted durable jobs.
 	Ledger ledger.Store
+	// Cancellations returns the feed of the notices to an owner that its durable jobs were canceled.
+	Cancellations func(owner uint64) registry.Feed
 	// DecodeConfiguration and DecodeWorker decode entries of the feeds.
 	DecodeConfiguration func(content []byte) (*routing.Table, error)
 	DecodeWorker        func(id string, content []byte) (executor.WorkerInfo, error)
--- a/internal/node/ledgerwrites.go
+++ b/internal/node/ledgerwrites.go
@@ -174,8 +174,7 @@
 		state := ledger.State(s.GetState())
 		n.durable.states.put(s.GetJob(), knownState{state, p.Incarnation, now}, n.config.StateRetention)
 		if state == ledger.Canceled && n.durable.ledger.Has(s.GetJob()) {
-			n.coordinator.Cancel(now, s.GetJob())
-			n.durable.ledger.SetFinalState(now, s.GetJob(), state)
+			n.applyCancellation(now, s.GetJob())
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,6 +155,7 @@
 	n.wg.Go(n.maintainOwnEntry)
 	n.wg.Go(n.watchOwners)
 	n.wg.Go(n.verifyOwnership)
+	n.wg.Go(n.followCancellations)
 	n.log.WithFields(logrus.Fields{
 		"event": "started", "name": n.self.Name, "domain": n.self.Domain, "incarnation": n.self.Incarnation, "address": n.self.Address,
 	}).Info()
--- a/internal/node/ownerwatch.go
+++ b/internal/node/ownerwatch.go
@@ -116,8 +116,8 @@
 	return storeRetryDelay
 }
 
-// sweepStates removes the states of jobs that ended long ago and whose writers no longer run. One
-// daemon does it for all.
+// sweepStates removes the states of jobs that ended long ago and whose writers no longer run, and the
+// notices to owners that no longer run. One daemon does it for all.
 func (n *Node) sweepStates() {
 	n.mu.Lock()
 	now, w := n.clock.now(), &n.durable.ownerWatch
@@ -135,6 +135,12 @@
 		return
 	}
 	expired := ledger.ExpiredStates(states, time.Now().Add(-2*(n.config.StateRetention+stateMargin)))
+	notices, err := n.abandonedNotices()
+	if err != nil {
+		n.ownersCheckFailed(err)
+		return
+	}
+	expired = append(expired, notices...)
 	for batch := range slices.Chunk(expired, ledger.MaxRows) {
 		if _, err := n.platform.Ledger.Write(n.ctx, ledger.Change{Remove: batch}); err != nil {
 			n.ownersCheckFailed(err)
@@ -245,6 +251,7 @@
 		w.scanDue, checkSoon = true, true // scan again until all jobs have an owner
 		if (own || ledger.Successor(e.ID, members) == n.self.Process) && !n.closing.Load() {
 			n.durable.ledger.TakeOver(now, r, e.Revision)
+			wake(n.durable.added)
 		}
 	}
 	return checkSoon
--- a/internal/node/states.go
+++ b/internal/node/states.go
@@ -34,8 +34,12 @@
 func newStates() states { return states{byJob: make(map[string]knownState)} }
 
 // put caches a state. It removes the states that are older than keep, and the oldest beyond
-// maxStates.
+// maxStates. A final state stays: reports of different daemons may arrive in another order than they
+// were made.
 func (s *states) put(job string, k knownState, keep time.Duration) {
+	if s.get(job).Final() && !k.state.Final() {
+		return
+	}
 	s.byJob[job] = k
 	s.order = append(s.order, reportedState{job, k.reportedAt})
 	for len(s.order) > maxStates || len(s.order) > 0 && k.reportedAt-s.order[0].reportedAt > keep {
--- a/internal/node/states_test.go
+++ b/internal/node/states_test.go
@@ -41,3 +41,12 @@
 	assert.Equal(t, s.get("ended"), ledger.Completed)
 	assert.Equal(t, s.get("other"), ledger.Running)
 }
+
+// The owner's report that a job is stored arrives after another daemon's report that it was canceled. The
+// final state must stay.
+func TestFinalStateIsNotReplacedByAnEarlierOne(t *testing.T) {
+	s := newStates()
+	s.put("a", knownState{ledger.Canceled, 2, 0}, time.Minute)
+	s.put("a", knownState{ledger.Queued, 1, time.Second}, time.Minute)
+	assert.Equal(t, s.get("a"), ledger.Canceled)
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -17,6 +17,9 @@
 	// progress is stored, the completions are not acknowledged to the workers, which only makes the
 	// workers' lists longer.
 	progressDelay = 250 * time.Millisecond
+	// noticeRemovalDelay is how long the ledger delays the removal of a handled notice to combine it with
+	// others.
+	noticeRemovalDelay = 3 * time.Second
 )
 
 // attemptsUntilUncertain is the number of unanswered writes of a new job after which the ledger reports
@@ -124,14 +127,15 @@
 	jobs              map[string]*trackedJob
 	// writeQueue lists the IDs of the jobs that have something to write.
 	writeQueue []string
-	// expiries lists the states of ended jobs, the earliest expiry first.
-	expiries []expiry
+	// expiries lists the states of ended jobs to be removed, and handledNotices the notices, the earliest
+	// expiry first.
+	expiries, handledNotices []expiry
 }
 
-// expiry is the time at which the state of a job is to be removed.
+// expiry is the time at which an entry is to be removed.
 type expiry struct {
-	id string
-	at time.Duration
+	key Key
+	at  time.Duration
 }
 
 // New returns an empty ledger.
@@ -233,7 +237,7 @@
 type Batch struct {
 	Change Change
 	writes []jobWrite
-	// expired lists the states that the batch removes.
+	// expired lists the expired entries that the batch removes.
 	expired []expiry
 }
 
@@ -287,18 +291,24 @@
 	return true
 }
 
-// addExpired adds removals of expired states to a batch that contains no writes of jobs. The embedder
+// addExpired adds removals of expired entries to a batch that contains no writes of jobs. The embedder
 // writes several batches concurrently, so a removal belongs to this batch alone until the batch fails.
 func (l *Ledger) addExpired(now time.Duration, b *Batch) {
-	for len(l.expiries) > 0 {
-		x := l.expiries[0]
-		if len(b.writes) > 0 || x.at > now || b.Change.Size() >= MaxRows {
-			return
-		}
-		b.Change.Remove = append(b.Change.Remove, Key{StateEntry, x.id})
-		b.expired = append(b.expired, x)
-		l.expiries = l.expiries[1:]
+	if len(b.writes) > 0 {
+		return
+	}
+	l.handledNotices = b.addRemovals(now, l.handledNotices)
+	l.expiries = b.addRemovals(now, l.expiries)
+}
+
+// addRemovals adds the removals that are due, as far as there is space, and returns the others.
+func (b *Batch) addRemovals(now time.Duration, list []expiry) (rest []expiry) {
+	for len(list) > 0 && list[0].at <= now && b.Change.Size() < MaxRows {
+		b.Change.Remove = append(b.Change.Remove, list[0].key)
+		b.expired = append(b.expired, list[0])
+		list = list[1:]
 	}
+	return list
 }
 
 // remove removes a job from the ledger, but not from the store.
--- a/ledger/results.go
+++ b/ledger/results.go
@@ -42,7 +42,7 @@
 	case ending:
 		event.Kind, event.State = Ended, j.finalState
 		l.remove(w.id)
-		l.expiries = append(l.expiries, expiry{w.id, now + l.config.Retention})
+		l.expiries = append(l.expiries, expiry{Key{StateEntry, w.id}, now + l.config.Retention})
 	default:
 		event.Kind = ProgressStored
 		if j.finalState != 0 {
@@ -174,13 +174,3 @@
 	clear(l.jobs)
 	return events
 }
-
-// Cancellation returns the change that cancels a job of any owner. The job's record is at the given
-// revision.
-func Cancellation(id string, revision int64, at time.Time) Change {
-	return Change{
-		Require: []Entry{{Key: Key{RecordEntry, id}, Revision: revision}},
-		Remove:  []Key{{RecordEntry, id}},
-		Set:     []Entry{{Key: Key{StateEntry, id}, Value: EncodeState(Canceled, 0, at)}},
-	}
-}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -27,6 +27,8 @@
 	StateEntry
 	// OwnershipEntry: a daemon's ownership record, by its ID.
 	OwnershipEntry
+	// CancellationEntry: a notice to a job's owner that the job was canceled, by NoticeID.
+	CancellationEntry
 )
 
 // Key identifies an entry.
--- a/registry/feed.go
+++ b/registry/feed.go
@@ -36,6 +36,8 @@
 	// RetiredDomain entries are written by the operator. While such an entry exists, the failure domain
 	// that it names gets no new runs.
 	RetiredDomain
+	// CanceledJob entries are written by daemons, for the daemon that owns the job. The ID is the job's.
+	CanceledJob
 )
 
 // Item is the content of an entry at a revision, or the entry's deletion.
