--- a/ledger/cancellation_test.go
+++ b/ledger/cancellation_test.go
@@ -144,3 +144,20 @@
 	assert.Equal(t, writeBatch(t, l, m, noticeRemovalDelay), "")
 	assert.Equal(t, len(m.notices(1)), 0)
 }
+
+// The write of a job's end gets no answer and is not applied, and another daemon cancels the job. The owner
+// must not take the cancellation for its own write.
+func TestUnansweredEndOfCanceledJob(t *testing.T) {
+	m := newMemoryStore()
+	l := newTestLedger(m, 1)
+	l.Add(0, record("a"))
+	writeBatch(t, l, m, 0)
+	l.SetFinalState(0, "a", Completed)
+	b, _ := l.NextBatch(0)
+	l.HandleNoAnswer(0, b)
+	cancel(t, m, "a")
+	b, _ = l.NextBatch(time.Second)
+	events, _ := l.HandleResult(time.Second, b, m.write(b.Change))
+	assert.Equal(t, summary(events), "a=ended ")
+	assert.Equal(t, events[0].State, Canceled)
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -102,7 +102,9 @@
 	record Record
 	// revision is the revision of the stored record.
 	revision int64
-	phase    phase
+	// stateRevision is the revision of the stored state; 0: not known.
+	stateRevision int64
+	phase         phase
 	// finalState is the final state to be written; 0 if there is none.
 	finalState State
 	// progressVersion is the version of the progress in record.
@@ -274,6 +276,9 @@
 		c.Set = []Entry{{Key: record, Value: j.record.Encode()}, {Key: state, Value: EncodeState(Queued, l.config.Owner, time.Time{})}}
 	case ending:
 		c.Require = []Entry{{Key: record, Revision: j.revision}}
+		if j.unanswered { // if the record is gone, the state shows which write removed it
+			c.Require = append(c.Require, Entry{Key: state, Revision: j.stateRevision})
+		}
 		c.Remove = []Key{record}
 		c.Set = []Entry{{Key: state, Value: EncodeState(j.finalState, l.config.Owner, l.config.Now())}}
 	default:
--- a/ledger/results.go
+++ b/ledger/results.go
@@ -33,6 +33,8 @@
 		event.Kind = Stored
 		if w.phase == takingOver {
 			event.Kind = TakenOver
+		} else {
+			j.stateRevision = revision
 		}
 		j.phase = accepted
 		if j.finalState != 0 { // canceled before it was stored
@@ -118,7 +120,7 @@
 			events = append(events, l.handleAddRefused(now, w, j, currentByKey[Key{StateEntry, w.id}])...)
 			continue
 		}
-		events = append(events, l.handleUpdateRefused(now, w, j, currentByKey[Key{RecordEntry, w.id}])...)
+		events = append(events, l.handleUpdateRefused(now, w, j, currentByKey[Key{RecordEntry, w.id}], currentByKey[Key{StateEntry, w.id}])...)
 	}
 	return events, false
 }
@@ -141,8 +143,11 @@
 
 // handleUpdateRefused handles a record that has changed since this daemon's last known write. If an
 // earlier write got no answer, that write may be the cause; otherwise another daemon owns the job or has
-// canceled it.
-func (l *Ledger) handleUpdateRefused(now time.Duration, w jobWrite, j *trackedJob, record Entry) []Event {
+// canceled it. The state is empty unless the write required it.
+func (l *Ledger) handleUpdateRefused(now time.Duration, w jobWrite, j *trackedJob, record, state Entry) []Event {
+	if state.Revision > 0 {
+		j.stateRevision = state.Revision
+	}
 	if record.Revision == j.revision {
 		return nil
 	}
@@ -153,6 +158,9 @@
 		}
 	}
 	if record.Revision == 0 && j.unanswered && w.phase == ending {
+		if stored, _, err := DecodeState(state.Value); err == nil && stored.Final() {
+			j.finalState = stored
+		}
 		return l.handleWritten(now, w, j, j.revision)
 	}
 	l.remove(w.id)
