--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -236,6 +236,25 @@
 	assert.Equal(t, m.state("a"), Failed)
 }
 
+// A daemon loses its ownership record, and a successor takes its job over. The caller sends the job to the
+// first daemon again, which gets no answer to its write. The daemon must not take the job for its own.
+func TestResentJobAfterLostOwnership(t *testing.T) {
+	m := newMemoryStore()
+	l, successor := newTestLedger(m, 1), newTestLedger(m, 2)
+	l.Add(0, record("a"))
+	writeBatch(t, l, m, 0)
+	m.write(OwnershipRemoval(m.entries[l.OwnershipKey()]))
+	l.HandleFenced()
+	successor.TakeOver(0, record("a"), m.entries[Key{RecordEntry, "a"}].Revision)
+	assert.Equal(t, writeBatch(t, successor, m, 0), "a=adopted ")
+	l.SetOwnershipRevision(m.write(Change{Set: []Entry{{Key: l.OwnershipKey(), Value: EncodeOwnership(process(1), "d")}}}).Revision)
+	l.Add(0, record("a"))
+	b, _ := l.NextBatch(0)
+	l.HandleNoAnswer(0, b)
+	assert.Equal(t, writeBatch(t, l, m, 0), "a=duplicate ")
+	assert.Assert(t, !l.Has("a"))
+}
+
 // Another daemon cancels the job in the store. The owner notices it at its next write and drops the job.
 func TestCanceledByAnotherDaemon(t *testing.T) {
 	m := newMemoryStore()
--- a/ledger/results.go
+++ b/ledger/results.go
@@ -126,13 +126,15 @@
 }
 
 // handleAddRefused handles a new job that is in the store already. If an earlier write got no answer,
-// that write may have stored the job; otherwise the job is a duplicate.
+// that write may have stored the job; otherwise the job is a duplicate. A state from before the current
+// ownership record is that of an earlier acceptance, and a successor may own the job since.
 func (l *Ledger) handleAddRefused(now time.Duration, w jobWrite, j *trackedJob, state Entry) []Event {
 	if state.Revision == 0 {
 		return nil
 	}
 	s, owner, err := DecodeState(state.Value)
-	if err == nil && owner == l.config.Owner && !s.Final() && j.unanswered {
+	stored := owner == l.config.Owner && state.Revision > l.ownershipRevision
+	if err == nil && stored && !s.Final() && j.unanswered {
 		j.queued = false
 		l.writeQueue = slices.DeleteFunc(l.writeQueue, func(q string) bool { return q == w.id })
 		return l.handleWritten(now, w, j, state.Revision)
--- a/ledger/simulation_test.go
+++ b/ledger/simulation_test.go
@@ -18,7 +18,11 @@
 // that still write are removed. Each job reported as accepted must have either a record or a final
 // state, and a final state must not change. An owner that has read its notices has no canceled job.
 func TestSimulatedFaults(t *testing.T) {
+	seeds := []uint64{2209} // a resent job was taken for an unanswered one of before the ownership record
 	for seed := range uint64(200) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		r := rand.New(rand.NewPCG(seed, 1))
 		s := &simulation{t: t, seed: seed, rand: r, store: newMemoryStore(), accepted: make(map[string]bool), ended: make(map[string]State)}
 		for owner := range uint64(3) {
