--- a/internal/node/ledgerwrites.go
+++ b/internal/node/ledgerwrites.go
@@ -245,5 +245,8 @@
 	if event.State != 0 {
 		fields["state"] = event.State
 	}
+	if event.Kind == ledger.TakenOver {
+		fields["progress_stored"] = len(event.Record.Progress) > 0
+	}
 	n.log.WithFields(fields).Info()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,7 @@
 	n.fleet.sync.copyLimiter.Mbps, n.configuration.copyLimiter.Mbps = c.LinkMbps, c.LinkMbps
 	n.quiescence = newQuiescenceChecks()
 	n.durable = newDurableJobs(n.self, c.StateRetention)
+	n.publishDurableJobs()
 	var err error
 	if n.mesh, err = mesh.New(n.self, c.Listen, (*peerHandler)(n)); err != nil {
 		return nil, err
--- a/internal/node/telemetry.go
+++ b/internal/node/telemetry.go
@@ -37,6 +37,25 @@
 	n.metrics.set.GetOrCreateGauge("lavendercleat_"+name, read)
 }
 
+// publishDurableJobs publishes how many durable jobs this daemon owns, and how many of them wait for
+// their first start.
+func (n *Node) publishDurableJobs() {
+	locked := func(read func() int) func() float64 {
+		return func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return float64(read())
+		}
+	}
+	n.PublishGauge("kept_jobs_owned", locked(n.durable.ledger.Len))
+	n.PublishGauge("kept_jobs_pending", locked(func() (count int) {
+		for _, pending := range n.ownPendingJobs() {
+			count += int(pending)
+		}
+		return count
+	}))
+}
+
 func (m *metricSet) count(name string, labels ...string) {
 	text := "lavendercleat_" + name + "_total{"
 	for i := 0; i+1 < len(labels); i += 2 {
