--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -235,7 +235,7 @@
 	switch r.Outcome {
 	case task.Started:
 		c.markStarted(j)
-		j.mayHaveRun, t.worker, t.token = true, r.Worker, r.Token
+		t.worker, t.token = r.Worker, r.Token
 		c.taskStarted(t)
 	case task.Done:
 		c.taskDone(now, j, t)
@@ -256,7 +256,7 @@
 }
 
 func (c *Coordinator) taskDone(now time.Duration, j *job, t *jobTask) {
-	j.mayHaveRun = true
+	c.markStarted(j)
 	t.state = done
 	j.remaining[t.ID.Step]--
 	for _, n := range j.remaining {
@@ -269,7 +269,8 @@
 }
 
 func (c *Coordinator) taskFailed(now time.Duration, j *job, t *jobTask, r task.Report) {
-	t.state, j.mayHaveRun = blocked, true
+	t.state = blocked
+	c.markStarted(j)
 	if c.countFailure(now, j, t, r.Run) {
 		return
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -26,6 +26,8 @@
 	now      time.Duration
 	messages []Message
 	answers  []Answer
+	// progressChanged lists the durable jobs whose progress was to be stored.
+	progressChanged []string
 }
 
 func newRig(t *testing.T) *rig { return &rig{t: t, c: New(self), now: time.Second} }
@@ -61,6 +63,7 @@
 	o := r.c.Drain()
 	r.messages = append(r.messages, o.Messages...)
 	r.answers = append(r.answers, o.Answers...)
+	r.progressChanged = append(r.progressChanged, o.ProgressChanged...)
 }
 
 // offers returns the tasks offered to an executor since the last call.
--- a/coordinator/durable.go
+++ b/coordinator/durable.go
@@ -80,19 +80,8 @@
 // first.
 func (c *Coordinator) submitDurable(now time.Duration, j *job) {
 	c.durableStates[j.ID] = &durableState{}
-	for i, p := range j.Progress {
-		t := j.tasks[i]
-		t.failedRuns, t.failures, t.Run = p.FailedRuns, len(p.FailedRuns), p.LastRun
-		if p.Done {
-			t.state = done
-			j.remaining[t.ID.Step]--
-			continue
-		}
-		c.markLost(now, t)
-		t.unknownRuns = true
-	}
-	if len(j.Progress) > 0 {
-		j.mayHaveRun = true
+	if j.TakenOver {
+		c.resumeTasks(now, j)
 		if c.answerIfDone(now, j) {
 			return
 		}
@@ -100,6 +89,24 @@
 	c.release(now, j)
 }
 
+// resumeTasks sets the tasks of a job that was taken over to their stored progress.
+func (c *Coordinator) resumeTasks(now time.Duration, j *job) {
+	j.mayHaveRun, j.started = true, len(j.Progress) > 0
+	for i, t := range j.tasks {
+		if j.started {
+			p := j.Progress[i]
+			t.failedRuns, t.failures, t.Run = p.FailedRuns, len(p.FailedRuns), p.LastRun
+			if p.Done {
+				t.state = done
+				j.remaining[t.ID.Step]--
+				continue
+			}
+		}
+		c.markLost(now, t)
+		t.unknownRuns = true
+	}
+}
+
 // answerIfDone answers a job all of whose tasks are done, and reports whether it did.
 func (c *Coordinator) answerIfDone(now time.Duration, j *job) bool {
 	for _, n := range j.remaining {
@@ -157,12 +164,13 @@
 	}
 }
 
-// markStarted notes that a task of the job has started. The first start of a durable job is stored.
+// markStarted notes that a worker has started a task of the job. The first start of a durable job is
+// stored: by the stored progress, callers and successors know whether the job still waits.
 func (c *Coordinator) markStarted(j *job) {
-	if j.Durable && !j.mayHaveRun {
-		j.mayHaveRun = true
+	if j.Durable && !j.started {
 		c.out.ProgressChanged = append(c.out.ProgressChanged, j.ID)
 	}
+	j.mayHaveRun, j.started = true, true
 }
 
 // recordCompletion remembers a completion that its executor holds back until it is stored.
@@ -200,6 +208,7 @@
 // earlier coordinator.
 func (c *Coordinator) handleDurableCompletion(now time.Duration, from member.Process, t *jobTask, workerID string, r task.RunningTask) {
 	j := c.jobs[r.ID.Job]
+	c.markStarted(j)
 	report := task.Report{ID: r.ID, Run: r.Run, Worker: workerID, Outcome: task.Terminated, Reason: "ended_out_of_sight"}
 	switch {
 	case r.Done:
@@ -264,12 +273,6 @@
 	return version, tasks
 }
 
-// HasStarted reports whether a worker may have started a task of the job.
-func (c *Coordinator) HasStarted(id string) bool {
-	j := c.jobs[id]
-	return j != nil && j.mayHaveRun
-}
-
 // withdrawRetaining takes back what executors have of a durable job that has ended or is not to run
 // here any more. Executors drop its queued tasks and stop its runs, but retain the completion
 // records, as another coordinator may have to read them.
@@ -361,12 +364,3 @@
 		}
 	}
 }
-
-// EachDurableJob calls each for all durable jobs, with whether a worker may have started a task of the job.
-func (c *Coordinator) EachDurableJob(each func(id string, started bool)) {
-	for id, j := range c.jobs {
-		if j.Durable {
-			each(id, j.mayHaveRun)
-		}
-	}
-}
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -28,8 +28,10 @@
 	Deadline time.Duration
 	// Durable jobs are stored: they have no deadline and are never given up.
 	Durable bool
-	// Progress is what an earlier coordinator stored of a durable job.
-	Progress []Progress
+	// TakenOver: an earlier coordinator may have started tasks of a durable job, and Progress is what it
+	// stored; empty if it stored no start.
+	TakenOver bool
+	Progress  []Progress
 }
 
 // Step is a number of equal tasks of a job.
@@ -168,9 +170,10 @@
 	tasks       []*jobTask
 	// remaining counts the tasks of each step that are not done.
 	remaining []int
-	// mayHaveRun is set once a worker may have started a task.
-	mayHaveRun bool
-	ended      bool
+	// mayHaveRun is set once a worker may have started a task, started once a worker is known to have
+	// started one.
+	mayHaveRun, started bool
+	ended               bool
 	// overShare: the job exceeds the share of its queue and domain.
 	overShare bool
 	// parked jobs wait for workers to become known until parkedUntil.
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -157,7 +157,6 @@
 			jt.Run, jt.state, jt.holder, jt.worker, jt.unknownRuns = r.Run, offered, from, t.Worker, false
 			jt.token = t.Token
 			jt.MaxEpoch = c.executors.maxEpoch(from)
-			c.jobs[r.ID.Job].mayHaveRun = true
 			claims.Tasks = append(claims.Tasks, jt.Task)
 			c.event("task_claimed", jt, "running")
 		}
--- a/internal/node/durable.go
+++ b/internal/node/durable.go
@@ -240,20 +240,21 @@
 // localState returns the state of a job as far as this daemon knows; 0: unknown. The caller holds
 // the lock.
 func (n *Node) localState(id string) ledger.State {
-	if n.waiters[id] != nil || n.coordinator.HasStarted(id) {
+	switch {
+	case n.waiters[id] != nil || n.durable.ledger.Started(id):
 		return ledger.Running
-	}
-	if n.durable.ledger.Has(id) {
+	case n.durable.ledger.Has(id):
 		return ledger.Queued
+	default:
+		return n.durable.states.get(id)
 	}
-	return n.durable.states.get(id)
 }
 
 // PendingJobs implements Dispatcher.
 func (n *Node) PendingJobs(route string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	count := int(n.ownPendingJobs()[route])
+	count := int(n.durable.ledger.Waiting()[route])
 	for _, p := range n.fleet.peers {
 		if p.up {
 			count += int(p.pendingJobs[route])
@@ -263,18 +264,6 @@
 	return count * n.fleet.cells.Count()
 }
 
-// ownPendingJobs counts this daemon's durable jobs that have not started, by queue. The caller
-// holds the lock.
-func (n *Node) ownPendingJobs() map[string]uint32 {
-	counts := make(map[string]uint32)
-	n.coordinator.EachDurableJob(func(id string, started bool) {
-		if !started {
-			counts[n.durable.ledger.Route(id)]++
-		}
-	})
-	return counts
-}
-
 func (n *Node) logAcceptance(r Request, a Acceptance) {
 	fields := logrus.Fields{"event": "job_accepted", "job": r.ID, "request": r.CallerID, "route": r.Route.Name, "verdict": a.Verdict}
 	if a.Verdict == Accepted {
--- a/internal/node/ledgerwrites.go
+++ b/internal/node/ledgerwrites.go
@@ -135,7 +135,7 @@
 		}
 		j := event.Record.Job
 		if event.Kind == ledger.TakenOver {
-			j.Progress = takenOverProgress(event.Record)
+			j.TakenOver, j.Progress = true, event.Record.Progress
 		}
 		n.coordinator.Submit(now, j)
 		return ledger.Queued
@@ -154,19 +154,6 @@
 	return 0
 }
 
-// takenOverProgress is the progress of a job that this daemon took over. Where none was stored,
-// tasks may still have started.
-func takenOverProgress(r ledger.Record) []coordinator.Progress {
-	if len(r.Progress) > 0 {
-		return r.Progress
-	}
-	tasks := 0
-	for _, s := range r.Job.Steps {
-		tasks += s.Count
-	}
-	return make([]coordinator.Progress, tasks)
-}
-
 // handleJobStates handles a peer's report of states that it has stored. The caller holds the lock.
 func (n *Node) handleJobStates(now time.Duration, p mesh.Peer, states []*schema.JobState) {
 	n.markLedgerInUse()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -145,7 +145,7 @@
 		heartbeat.Backlogs = append(heartbeat.Backlogs, &schema.Backlog{Service: service, CoreMs: backlog.WithinShare(), SurplusCoreMs: overShareToWire(backlog.OverShare())})
 	}
 	n.reportShares(now, heartbeat)
-	heartbeat.Pending = n.ownPendingJobs()
+	heartbeat.Pending = n.durable.ledger.Waiting()
 	heartbeat.Domains = retirementsToWire(n.fleet.retirements.List())
 	n.fleet.sync.addToHeartbeat(now, heartbeat)
 	for a := range n.fleet.peers {
--- a/internal/node/telemetry.go
+++ b/internal/node/telemetry.go
@@ -49,7 +49,7 @@
 	}
 	n.PublishGauge("kept_jobs_owned", locked(n.durable.ledger.Len))
 	n.PublishGauge("kept_jobs_pending", locked(func() (count int) {
-		for _, pending := range n.ownPendingJobs() {
+		for _, pending := range n.durable.ledger.Waiting() {
 			count += int(pending)
 		}
 		return count
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -178,6 +178,25 @@
 	return j != nil && j.phase == accepted
 }
 
+// Started reports whether a task of a job that has not ended is known to have started: its progress is
+// stored, or is about to be.
+func (l *Ledger) Started(id string) bool {
+	j := l.jobs[id]
+	return j != nil && len(j.record.Progress) > 0
+}
+
+// Waiting counts the accepted jobs that have not started, by queue. A job that this daemon is taking over
+// counts, too: no other daemon counts it.
+func (l *Ledger) Waiting() map[string]uint32 {
+	counts := make(map[string]uint32)
+	for _, j := range l.jobs {
+		if j.phase != adding && j.finalState == 0 && len(j.record.Progress) == 0 {
+			counts[j.record.Route]++
+		}
+	}
+	return counts
+}
+
 // Add adds a new job and schedules the write that stores it.
 func (l *Ledger) Add(now time.Duration, r Record) {
 	r.Owner = l.config.Owner
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -267,6 +267,34 @@
 	assert.Equal(t, m.state("a"), Canceled)
 }
 
+// Jobs must count as waiting from their acceptance to their first start, also while they are taken over, and
+// a start that was stored must count after a takeover.
+func TestWaitingJobs(t *testing.T) {
+	m := newMemoryStore()
+	l, successor := newTestLedger(m, 1), newTestLedger(m, 2)
+	for _, id := range []string{"waits", "starts", "ends"} {
+		l.Add(0, record(id))
+	}
+	assert.Equal(t, l.Waiting()["r"], uint32(0), "not accepted yet")
+	writeBatch(t, l, m, 0)
+	assert.Equal(t, l.Waiting()["r"], uint32(3))
+	l.UpdateProgress(0, "starts", 1, make([]coordinator.Progress, 3))
+	l.SetFinalState(0, "ends", Canceled)
+	assert.Equal(t, l.Waiting()["r"], uint32(1))
+	assert.Assert(t, l.Started("starts") && !l.Started("waits") && !l.Started("unknown"))
+	writeBatch(t, l, m, time.Second)
+	for _, id := range []string{"waits", "starts"} {
+		e := m.entries[Key{RecordEntry, id}]
+		r, err := DecodeRecord(e.Value)
+		assert.NilError(t, err)
+		successor.TakeOver(0, r, e.Revision)
+	}
+	assert.Equal(t, successor.Waiting()["r"], uint32(1))
+	writeBatch(t, successor, m, 0)
+	assert.Equal(t, successor.Waiting()["r"], uint32(1))
+	assert.Assert(t, successor.Started("starts") && !successor.Started("waits"))
+}
+
 // A caller cancels a job before it is stored. The job is stored with its final state and never runs.
 func TestCanceledBeforeStored(t *testing.T) {
 	m := newMemoryStore()
--- /dev/null
+++ b/test/leased/pending_test.go
@@ -0,0 +1,130 @@
+// The tests of the count of waiting jobs after daemons were stopped, killed or cut off.
+
+package leased
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lavendercleat/lavendercleat/platform/platformtest"
+)
+
+const (
+	// takeoverTime is how long it takes after a fault until all runs that may be left of it are over, and
+	// the tasks that waited are offered again.
+	takeoverTime = 4 * time.Second
+	// pendingVisible is how old the count may be that a daemon shows.
+	pendingVisible = 2 * time.Second
+	// pendingRunTime is how long tasks run: longer than any of the tests.
+	pendingRunTime = 40 * time.Second
+)
+
+// pendingScenario has jobs that wait, accepted by all daemons alike, while others fill the workers.
+type pendingScenario struct {
+	*testSystem
+	load *durableLoad
+}
+
+const waitingJobs = 9
+
+func startPendingScenario(t *testing.T) *pendingScenario {
+	t.Helper()
+	const workers = 2
+	s := &pendingScenario{testSystem: startSystemWithProxies(t, 3, workers, shortTasks, true)}
+	s.load = newDurableLoad(s.testSystem)
+	s.waitUntilWorkersHeld()
+	s.setBehaviour(platformtest.WorkerBehaviour{RunTime: pendingRunTime})
+	for i := range workers {
+		s.load.submit(fmt.Sprintf("block%d", i), i+1, workerCPU/taskCPU)
+	}
+	for until := time.Now().Add(readyTimeout); s.recorder.RunningCount() < workers*workerCPU/taskCPU; time.Sleep(pollInterval) {
+		assert.Assert(t, time.Now().Before(until), "the workers are not full")
+	}
+	for i := range waitingJobs {
+		s.load.submit(fmt.Sprintf("waiting%d", i), i, 1)
+	}
+	assert.Equal(t, len(s.load.accepted), workers+waitingJobs)
+	s.checkPending()
+	return s
+}
+
+// checkPending checks that each daemon shows as many jobs as pending as have not started. A fault may end
+// some of the runs that fill the workers, and other jobs start then.
+func (s *pendingScenario) checkPending() {
+	s.t.Helper()
+	assert.Assert(s.t, s.waiting() > 0, "no job waits")
+	until := time.Now().Add(pendingVisible)
+	for _, d := range s.daemons {
+		show := func() (pending bool, answer string) {
+			_, answer = s.callForState(http.MethodGet, d, "", "")
+			return answer == fmt.Sprintf(`{"pending":%d}`, s.waiting()), answer
+		}
+		right, answer := show()
+		for !right && time.Now().Before(until) {
+			time.Sleep(20 * time.Millisecond)
+			right, answer = show()
+		}
+		assert.Check(s.t, right, "%s shows %s, but %d jobs have not started", d.name, answer, s.waiting())
+	}
+}
+
+// waiting counts the jobs of which no task has started.
+func (s *pendingScenario) waiting() (count int) {
+	starts := s.recorder.Starts()
+	for i := range waitingJobs {
+		if starts[fmt.Sprintf("waiting%d.0.0.0", i)] == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// All daemons are stopped and started in turn. Jobs that wait and were taken over must count as pending.
+func TestPendingCountAfterRollingRestart(t *testing.T) {
+	t.Parallel()
+	s := startPendingScenario(t)
+	for _, d := range s.daemons {
+		d.Terminate()
+		assert.NilError(t, d.Wait(7*time.Second))
+		d.startProcess()
+		d.waitUntilReady()
+	}
+	time.Sleep(takeoverTime)
+	s.checkPending()
+}
+
+// A daemon is killed: successors take over its jobs, and the tasks that waited at it are offered again.
+// None of them has started.
+func TestPendingCountAfterKill(t *testing.T) {
+	t.Parallel()
+	s := startPendingScenario(t)
+	s.daemons[0].Kill()
+	s.daemons[0].startProcess()
+	s.daemons[0].waitUntilReady()
+	time.Sleep(takeoverTime)
+	s.checkPending()
+}
+
+// All daemons are cut off from each other and from the store for longer than they may go on without a
+// confirmation of their ownership, so that they take back the tasks that wait.
+func TestPendingCountAfterPartition(t *testing.T) {
+	t.Parallel()
+	s := startPendingScenario(t)
+	for _, d := range s.daemons {
+		d.peerProxy.Block()
+		d.peerProxy.MuteExisting()
+		d.storeProxy.Block()
+		d.storeProxy.MuteExisting()
+	}
+	time.Sleep(4 * time.Second)
+	for _, d := range s.daemons {
+		d.peerProxy.Unblock()
+		d.storeProxy.Unblock()
+	}
+	time.Sleep(takeoverTime)
+	s.checkPending()
+}
