--- a/internal/node/durable_test.go
+++ b/internal/node/durable_test.go
@@ -35,6 +35,11 @@
 	return ledger.Entry{}, ledger.ErrOutcomeUnknown
 }
 
+func (unresponsiveStore) Write(ctx context.Context, _ ledger.Change) (ledger.Result, error) {
+	<-ctx.Done()
+	return ledger.Result{}, ledger.ErrOutcomeUnknown
+}
+
 // The daemon stops while the store does not answer. Callers that query or cancel a job must be
 // answered then, and not delay the stop until their own wait limit.
 func TestStopAnswersCallersThatWaitForStore(t *testing.T) {
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lavendercleat/lavendercleat/internal/clock"
 	"github.com/lavendercleat/lavendercleat/ledger"
 )
 
@@ -158,9 +159,27 @@
 	n.wakeOwnerWatch()
 }
 
+// flushLedger stores what waits to be written, for successors to know which tasks have started and
+// ended. A store that does not answer must not delay the stop.
+func (n *Node) flushLedger(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	flushed := false
+	for ctx.Err() == nil && !flushed {
+		n.update(func(now time.Duration) {
+			n.durable.ledger.Flush(now)
+			flushed = n.durable.ledger.Flushed()
+		})
+		if !flushed {
+			clock.Sleep(ctx, tickInterval)
+		}
+	}
+}
+
 // releaseOwnership removes this daemon's ownership record at a planned stop, so that successors
 // take over its remaining jobs at once.
 func (n *Node) releaseOwnership(ctx context.Context) {
+	n.flushLedger(ctx)
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	n.mu.Lock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -237,6 +237,25 @@
 	l.scheduleWrite(id, now)
 }
 
+// Flush makes all writes due that wait to be combined with others.
+func (l *Ledger) Flush(now time.Duration) {
+	for _, id := range l.writeQueue {
+		if j := l.jobs[id]; j != nil {
+			j.nextWriteAt = min(j.nextWriteAt, now)
+		}
+	}
+}
+
+// Flushed reports whether no write of a job waits or is in flight.
+func (l *Ledger) Flushed() bool {
+	for _, j := range l.jobs {
+		if j.queued || j.inFlight {
+			return false
+		}
+	}
+	return true
+}
+
 // scheduleWrite queues a write of the job, or moves a queued write to an earlier time.
 func (l *Ledger) scheduleWrite(id string, at time.Duration) {
 	j := l.jobs[id]
--- a/test/leased/pending_test.go
+++ b/test/leased/pending_test.go
@@ -36,6 +36,7 @@
 	const workers = 2
 	s := &pendingScenario{testSystem: startSystemWithProxies(t, 3, workers, shortTasks, true)}
 	s.load = newDurableLoad(s.testSystem)
+	s.load.estimate = pendingRunTime
 	s.waitUntilWorkersHeld()
 	s.setBehaviour(platformtest.WorkerBehaviour{RunTime: pendingRunTime})
 	for i := range workers {
