--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -33,7 +33,8 @@
 
 // ownershipCheck is the state of the verification that this daemon's ownership record exists.
 type ownershipCheck struct {
-	// verifyUntil is when the verification ends.
+	// verifyUntil is when the verification ends, unless the record is not confirmed then; 0: there was
+	// no reason to verify it.
 	verifyUntil time.Duration
 	// confirmedAt is when the latest read that confirmed the record began.
 	confirmedAt time.Duration
@@ -91,10 +92,16 @@
 // them when the confirmation is too old. The caller holds the lock.
 func (n *Node) durableTick(now time.Duration) {
 	check := &n.durable.ownership
-	if now >= check.verifyUntil || n.durable.ledger.Len() == 0 {
-		check.confirmedAt, check.gapAt = max(check.confirmedAt, now), 0
-	}
 	confirmed := check.gapAt == 0 && now-check.confirmedAt < maxConfirmationAge
+	switch {
+	case n.durable.ledger.Len() == 0:
+		check.confirmedAt, check.gapAt, confirmed = max(check.confirmedAt, now), 0, true
+	case now < check.verifyUntil:
+	case confirmed || check.verifyUntil == 0: // there was no doubt, or a read has ended it
+		check.confirmedAt, confirmed = max(check.confirmedAt, now), true
+	default: // only a read ends the doubt, however long the store is away
+		check.verifyUntil = now + verifyPeriod
+	}
 	n.coordinator.PauseDurable(now, !confirmed)
 	if confirmed {
 		check.withdrawn = false
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// The store is away for longer than this daemon verifies its ownership record after the loss of a peer. The
+// peer may have removed the record long ago, and its successors may run the jobs.
+func TestOwnershipStaysUnconfirmedWithoutStore(t *testing.T) {
+	n := newTestNode(t)
+	n.addOwnedJob("a")
+	n.advance(time.Second)
+	n.ownerUnreachable(n.now, peer(3))
+	n.advance(verifyPeriod + time.Second)
+	n.coordinator.UpdateExecutor(coordinator.ExecutorState{Process: peer(2).Process, Workers: []executor.WorkerCapacity{{Worker: "w", Service: "s", Open: true, Usable: true}}})
+	n.coordinator.Submit(n.now, durableJob("b"))
+	for _, m := range n.advance(5 * time.Second) {
+		assert.Equal(t, len(m.Offer), 0)
+	}
+	assert.Assert(t, n.now < n.durable.ownership.verifyUntil, "the record is not read any more")
+	n.durable.ownership.confirmedAt = n.now
+	offers := 0
+	for _, m := range n.advance(500 * time.Millisecond) {
+		offers += len(m.Offer)
+	}
+	assert.Assert(t, offers > 0)
+}
+
 // A daemon resumes after a standstill and offers tasks that a successor may have started. It must
 // offer none until a read that began afterwards confirms its ownership record.
 func TestDurableTasksPauseAfterStandstill(t *testing.T) {
