--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -59,7 +59,7 @@
 	// executor lets these completions lapse and does not acknowledge them as stored.
 	Superseded []task.RunRef
 	// Reconcile lists durable jobs with lost tasks: the executor reports which of their runs it has.
-	Reconcile []string
+	Reconcile []task.OwnedJob
 }
 
 // Output is what the embedder has to carry out. It has to deliver the messages to one executor in
--- a/coordinator/durable.go
+++ b/coordinator/durable.go
@@ -144,15 +144,15 @@
 	}
 	if missing && now >= j.reconcileAt {
 		j.reconcileAt = now + reconcileInterval
-		c.reconcile(j.ID)
+		c.reconcile(j)
 	}
 }
 
 // reconcile asks all executors for their runs of a job.
-func (c *Coordinator) reconcile(id string) {
+func (c *Coordinator) reconcile(j *job) {
 	for _, h := range c.executors.list {
 		m := c.messageTo(h.Process, func(m *Message) bool { return m.Reconcile != nil })
-		m.Reconcile = append(m.Reconcile, id)
+		m.Reconcile = append(m.Reconcile, task.OwnedJob{ID: j.ID, OwnedSince: j.OwnedSince})
 	}
 }
 
--- a/coordinator/job.go
+++ b/coordinator/job.go
@@ -28,6 +28,8 @@
 	Deadline time.Duration
 	// Durable jobs are stored: they have no deadline and are never given up.
 	Durable bool
+	// OwnedSince is the store's revision at which this daemon came to own a durable job; 0: not given.
+	OwnedSince int64
 	// TakenOver: an earlier coordinator may have started tasks of a durable job, and Progress is what it
 	// stored; empty if it stored no start.
 	TakenOver bool
@@ -193,7 +195,7 @@
 			n.tasks = append(n.tasks, &jobTask{Task: task.Task{
 				ID: task.ID{Job: j.ID, Step: uint32(s), Index: uint32(i)}, Service: j.Service, Queue: j.Queue, Label: step.Label,
 				Payload: j.Payload, Demand: step.Demand, Priority: j.Priority, ExpectedRunTime: step.ExpectedRunTime,
-				Due: n.due, StartBy: j.Deadline - step.ExpectedRunTime/2, Durable: j.Durable, PerWorker: step.PerWorker,
+				Due: n.due, StartBy: j.Deadline - step.ExpectedRunTime/2, Durable: j.Durable, PerWorker: step.PerWorker, OwnedSince: j.OwnedSince,
 			}})
 		}
 	}
--- a/executor/durable.go
+++ b/executor/durable.go
@@ -43,6 +43,8 @@
 	lookedUp bool
 	// releasable: it may be acknowledged.
 	releasable bool
+	// ownedSince is when its coordinator came to own the job, as in the task; 0: not known.
+	ownedSince int64
 	// foundAtTakeover: it was listed at a takeover, and it is not known whether its job is durable.
 	foundAtTakeover bool
 	// owner is its coordinator, ownerLostAt when that became unreachable; 0: it is reachable.
@@ -78,7 +80,7 @@
 	case r.task == nil:
 		e.holdFoundCompletion(now, w, c)
 	case r.task.Durable && !r.discarded && (c.Done || c.Failed):
-		w.unacknowledged[c.Number] = unacknowledgedCompletion{RunningTask: c.RunningTask, lookUpAt: now + confirmTimeout, owner: r.owner, ownerLostAt: r.orphanedAt}
+		w.unacknowledged[c.Number] = unacknowledgedCompletion{RunningTask: c.RunningTask, lookUpAt: now + confirmTimeout, owner: r.owner, ownerLostAt: r.orphanedAt, ownedSince: r.task.OwnedSince}
 	}
 }
 
@@ -248,11 +250,22 @@
 // Reconcile reports to a coordinator what this executor knows of the durable jobs that the coordinator
 // owns. For each worker concerned it lists all runs and all unacknowledged completions. If a list does
 // not show a run, the coordinator takes that run as over. Tasks that wait are returned, as they have not
-// run.
-func (e *Executor) Reconcile(now time.Duration, by member.Process, jobs []string) {
-	affected := func(id task.ID) bool { return slices.Contains(jobs, id.Job) }
+// run. What a later owner has here stays with that owner.
+func (e *Executor) Reconcile(now time.Duration, by member.Process, jobs []task.OwnedJob) {
+	ownedSince := make(map[string]int64, len(jobs))
+	for _, j := range jobs {
+		ownedSince[j.ID] = j.OwnedSince
+	}
+	affected := func(id task.ID) bool {
+		_, ok := ownedSince[id.Job]
+		return ok
+	}
+	outranked := func(id task.ID, other int64) bool {
+		asked := task.Task{OwnedSince: ownedSince[id.Job]}
+		return asked.OutrankedBy(other)
+	}
 	e.queue = slices.DeleteFunc(e.queue, func(q *queuedTask) bool {
-		if !affected(q.task.ID) {
+		if !affected(q.task.ID) || outranked(q.task.ID, q.task.OwnedSince) {
 			return false
 		}
 		e.emitReport(q.owner, task.Report{ID: q.task.ID, Run: q.task.Run, Outcome: task.NotRun, Reason: ReasonReconciled})
@@ -272,8 +285,10 @@
 			t.Completed = append(t.Completed, c.RunningTask)
 			if affected(c.ID) {
 				concerned = true
-				c.owner, c.ownerLostAt, c.foundAtTakeover = by, 0, false
-				w.unacknowledged[n] = c
+				if !outranked(c.ID, c.ownedSince) {
+					c.owner, c.ownerLostAt, c.foundAtTakeover, c.ownedSince = by, 0, false, ownedSince[c.ID.Job]
+					w.unacknowledged[n] = c
+				}
 			}
 		}
 		if concerned {
--- a/executor/takeover.go
+++ b/executor/takeover.go
@@ -119,6 +119,15 @@
 	if r.task != nil && (r.owner == owner && r.orphanedAt == 0 || !t.Durable) {
 		return
 	}
+	if r.task != nil && r.owner != owner {
+		// The record of the job's owner is in the store, and an earlier owner may not have read that it is
+		// replaced. It drops the job when it does.
+		refused := t.OutrankedBy(r.task.OwnedSince)
+		e.emitEvent("run_claimed", w, r, fmt.Sprintf("by=%s owned_since=%d before=%s before_since=%d refused=%t", owner.Address, t.OwnedSince, r.owner.Address, r.task.OwnedSince, refused))
+		if refused {
+			return
+		}
+	}
 	w.removeRun(r)
 	r.task, r.owner, r.orphanedAt = t, owner, 0
 	w.addRun(r)
--- a/internal/node/convert.go
+++ b/internal/node/convert.go
@@ -48,7 +48,7 @@
 			Priority: int32(t.Priority), ExpectedMs: t.ExpectedRunTime.Milliseconds(),
 			StartByMs: (t.StartBy - now).Milliseconds(), DueMs: (t.Due - now).Milliseconds(), Avoid: t.Avoid,
 			Kept: t.Durable, PerWorker: uint32(t.PerWorker), OnlyNow: t.NoWait, Queue: t.Queue, Surplus: t.OverShare,
-			Tenures: t.MaxEpoch,
+			Tenures: t.MaxEpoch, OwnedSince: t.OwnedSince,
 		}
 	}
 	return out
@@ -63,7 +63,7 @@
 			Priority: int(t.GetPriority()), ExpectedRunTime: ms(t.GetExpectedMs()),
 			StartBy: now + ms(t.GetStartByMs()), Due: now + ms(t.GetDueMs()), Avoid: t.GetAvoid(),
 			Durable: t.GetKept(), PerWorker: int(t.GetPerWorker()), NoWait: t.GetOnlyNow(), Queue: t.GetQueue(), OverShare: t.GetSurplus(),
-			MaxEpoch: t.GetTenures(),
+			MaxEpoch: t.GetTenures(), OwnedSince: t.GetOwnedSince(),
 		}
 	}
 	return out
@@ -131,12 +131,32 @@
 	case m.Reserve != nil || m.Unreserve != nil:
 		return &schema.Frame{Body: &schema.Frame_Reservation{Reservation: &schema.Reservation{Tasks: tasksToWire(now, m.Reserve), Dropped: idsToWire(m.Unreserve)}}}
 	case m.Reconcile != nil:
-		return &schema.Frame{Body: &schema.Frame_Recall{Recall: &schema.Recall{Jobs: m.Reconcile}}}
+		return &schema.Frame{Body: &schema.Frame_Recall{Recall: ownedJobsToWire(m.Reconcile)}}
 	default:
 		return &schema.Frame{Body: &schema.Frame_Withdrawal{Withdrawal: &schema.Withdrawal{Tasks: idsToWire(m.Withdraw), Confirm: m.Confirm}}}
 	}
 }
 
+func ownedJobsToWire(jobs []task.OwnedJob) *schema.Recall {
+	out := new(schema.Recall)
+	for _, j := range jobs {
+		out.Jobs, out.OwnedSince = append(out.Jobs, j.ID), append(out.OwnedSince, j.OwnedSince)
+	}
+	return out
+}
+
+// ownedJobsFromWire returns the jobs of a recall. Daemons of earlier versions give no revisions.
+func ownedJobsFromWire(r *schema.Recall) []task.OwnedJob {
+	out := make([]task.OwnedJob, len(r.GetJobs()))
+	for i, id := range r.GetJobs() {
+		out[i].ID = id
+		if i < len(r.GetOwnedSince()) {
+			out[i].OwnedSince = r.GetOwnedSince()[i]
+		}
+	}
+	return out
+}
+
 func runRefsToWire(runs []task.RunRef) []*schema.SettledRun {
 	out := make([]*schema.SettledRun, len(runs))
 	for i, r := range runs {
--- a/internal/node/ledgerwrites.go
+++ b/internal/node/ledgerwrites.go
@@ -134,6 +134,7 @@
 			return 0 // canceled before it was stored; the next write stores its end
 		}
 		j := event.Record.Job
+		j.OwnedSince = event.Revision
 		if event.Kind == ledger.TakenOver {
 			j.TakenOver, j.Progress = true, event.Record.Progress
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -218,7 +218,7 @@
 			n.executor.Reserve(now, p.Process, tasksFromWire(now, b.Reservation.GetTasks()))
 		})
 	case *schema.Frame_Recall:
-		n.fromPeer(p, func(now time.Duration) { n.executor.Reconcile(now, p.Process, b.Recall.GetJobs()) })
+		n.fromPeer(p, func(now time.Duration) { n.executor.Reconcile(now, p.Process, ownedJobsFromWire(b.Recall)) })
 	case *schema.Frame_JobStates:
 		n.fromPeer(p, func(now time.Duration) { n.handleJobStates(now, p, b.JobStates.GetStates()) })
 	case *schema.Frame_Reports:
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -78,6 +78,9 @@
 	Record Record
 	// Version is the version of the stored progress.
 	Version uint64
+	// Revision is the store's revision at which a stored job, or one that was taken over, came to be owned
+	// by this daemon.
+	Revision int64
 	// State is the final state of an ended job, or of a job that ended before it was stored. In a
 	// Duplicate it is the stored state of the job.
 	State State
--- a/ledger/results.go
+++ b/ledger/results.go
@@ -30,7 +30,7 @@
 	event := Event{Record: j.record, Version: w.progressVersion}
 	switch w.phase {
 	case adding, takingOver:
-		event.Kind = Stored
+		event.Kind, event.Revision = Stored, revision
 		if w.phase == takingOver {
 			event.Kind = TakenOver
 		} else {
--- a/task/task.go
+++ b/task/task.go
@@ -63,6 +63,20 @@
 	// OverShare tasks belong to jobs beyond the share of their queue and callers. They wait behind the
 	// tasks within their shares.
 	OverShare bool
+	// OwnedSince is the store's revision at which the coordinator came to own the durable job. A later
+	// owner has a higher one, and its claims and offers prevail. 0: not given.
+	OwnedSince int64
+}
+
+// OutrankedBy reports whether another owner came to own the task's job later.
+func (t *Task) OutrankedBy(ownedSince int64) bool {
+	return t.OwnedSince > 0 && ownedSince > t.OwnedSince
+}
+
+// OwnedJob is a durable job with the revision at which its coordinator came to own it, as in a Task.
+type OwnedJob struct {
+	ID         string
+	OwnedSince int64
 }
 
 // CompareOverShare orders tasks within their shares before tasks over their shares.
--- a/test/leased/durable_test.go
+++ b/test/leased/durable_test.go
@@ -243,6 +243,31 @@
 	k.checkInvariants(2)
 }
 
+// A daemon is cut off from its peers, which take its jobs over, and from the store for longer: linked again,
+// it still takes itself for the owner and claims the successors' runs. All jobs must be completed.
+func TestDurableJobsOfOwnerThatLearnsLateOfItsLoss(t *testing.T) {
+	t.Parallel()
+	s := startSystemWithProxies(t, 3, 6, shortTasks, true)
+	s.waitUntilWorkersHeld()
+	s.setBehaviour(platformtest.WorkerBehaviour{RunTime: 5 * time.Second})
+	k := newDurableLoad(s)
+	for i := range 5 { // with room to spare
+		id := fmt.Sprintf("late%d", i)
+		status, answer := s.callForState(http.MethodPost, s.daemons[0], id, durableJobBody(2))
+		assert.Equal(t, status, http.StatusOK, answer)
+		k.accepted = append(k.accepted, id)
+	}
+	s.daemons[0].peerProxy.MuteExisting()
+	s.daemons[0].peerProxy.Block()
+	s.daemons[0].storeProxy.MuteExisting()
+	s.daemons[0].storeProxy.Block()
+	time.Sleep(3 * time.Second)
+	s.daemons[0].peerProxy.Unblock()
+	time.Sleep(6 * time.Second)
+	s.daemons[0].storeProxy.Unblock()
+	k.checkInvariants(2)
+}
+
 // The store is unavailable, then loses replies, then does not answer, then works again. Daemons refuse
 // jobs that it cannot store, or give no clear answer. Jobs accepted before go on, and daemons show them
 // as ended when the store works again.
