--- a/internal/entry/syncer.go
+++ b/internal/entry/syncer.go
@@ -53,8 +53,10 @@
 	doc *schema.Config
 	// ignoredReason is why that document is not in force, or "" if it is.
 	ignoredReason string
-	// failingSince holds the time since which each kind of call has failed.
+	// failingSince holds the time since which each kind of call has failed. outageEvents counts how often
+	// calls of a kind began or ceased to fail.
 	failingSince map[string]time.Duration
+	outageEvents int
 }
 
 // watchRepeatedly calls watchOnce again and again until the context ends. watchOnce makes one watch and
@@ -84,6 +86,7 @@
 	_, reported := s.lastSeen.failingSince[call]
 	if !reported {
 		s.lastSeen.failingSince[call] = s.clock.Now()
+		s.lastSeen.outageEvents++
 	}
 	s.mu.Unlock()
 	if !reported {
@@ -96,6 +99,9 @@
 	s.mu.Lock()
 	since, failing := s.lastSeen.failingSince[call]
 	delete(s.lastSeen.failingSince, call)
+	if failing {
+		s.lastSeen.outageEvents++
+	}
 	s.mu.Unlock()
 	if failing {
 		s.log.WithFields(logrus.Fields{"event": "platform_back", "call": call, "after": s.clock.Now() - since}).Info("platform answers again")
@@ -104,13 +110,15 @@
 
 // watchConfig follows the configuration document until the context ends.
 //
-// After a failed call it reads the key instead of waiting for a change. A platform that was restored from an
-// older copy counts the writes from that copy on, so the revision that was waited for may now belong to
-// another document.
+// After a failed call of any kind it reads the key instead of waiting for a change: an outage may fall between
+// two of its own calls. A platform that was restored from an older copy counts the writes from that copy on,
+// so the revision that was waited for may now belong to another document.
 func (s *syncer) watchConfig(ctx context.Context) {
 	var revision uint64
-	reread := true
+	reread, handled := true, 0
 	s.watchRepeatedly(ctx, "config", func() (bool, error) {
+		events := s.outageEvents()
+		reread, handled = reread || events != handled, events
 		before := s.state.config().Revision()
 		v, changed, err := s.readConfig(ctx, revision, reread)
 		if err != nil {
@@ -127,6 +135,13 @@
 	})
 }
 
+// outageEvents returns how often calls of a kind have begun or ceased to fail.
+func (s *syncer) outageEvents() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastSeen.outageEvents
+}
+
 // readConfig reads the key, or waits until its revision differs from the given one. A key without a value
 // has revision 0.
 func (s *syncer) readConfig(ctx context.Context, revision uint64, reread bool) (v platform.Value, changed bool, err error) {
