--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -8,6 +8,9 @@
 // all writes of that owner at once, even if the owner is suspended or cut off from its peers, and may then
 // take over the owner's jobs.
 //
+// A job is canceled by any daemon in one change, which also writes a notice to the job's owner. Owners read
+// their notices; nothing else tells an owner for certain that another daemon has canceled its job.
+//
 // Ledger decides which changes to write and what the store's answers mean. It does no I/O and reads no
 // clock. The embedder takes batches from it, writes them, and reports the results.
 package ledger
--- a/test/leased/durable_test.go
+++ b/test/leased/durable_test.go
@@ -80,6 +80,21 @@
 	k.mu.Unlock()
 }
 
+// fillWorkers submits durable jobs that occupy all workers for a time, and waits until they run.
+func (k *durableLoad) fillWorkers(runTime time.Duration) {
+	s := k.system
+	s.t.Helper()
+	s.waitUntilWorkersHeld()
+	s.setBehaviour(platformtest.WorkerBehaviour{RunTime: runTime})
+	const perWorker = workerCPU / taskCPU
+	for i := range s.workers {
+		k.submit(fmt.Sprintf("block%d", i), i+1, perWorker)
+	}
+	for until := time.Now().Add(readyTimeout); s.recorder.RunningCount() < perWorker*len(s.workers); time.Sleep(pollInterval) {
+		assert.Assert(s.t, time.Now().Before(until), "the workers are not full")
+	}
+}
+
 // sendJobs sends jobs from a number of callers for d.
 func (k *durableLoad) sendJobs(d time.Duration, callers, tasks int) {
 	var wg sync.WaitGroup
