--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins and the player of the cases 4 to 8, after the build of the deploy file.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/review-2 ./review/harness-2
