--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -32,7 +32,7 @@
 	"4":      splitAfterCut,
 	"5":      longPartition,
 	"6":      manyCompletions,
-	"7":      pendingInZoneCut,
+	"7":      pendingAfterKill,
 	"8":      restartAndRemoval,
 	"cancel": cancelElsewhere,
 	"soak":   soak,
--- a/review/harness-2/soak.go
+++ b/review/harness-2/soak.go
@@ -38,6 +38,13 @@
 	if err := s.start(zones, workers, map[string]any{"target-latency-ms": 3000}); err != nil {
 		return v, err
 	}
+	failing, apart := 0, os.Getenv("APART") != ""
+	if os.Getenv("FAILING") != "" {
+		failing = 15
+	}
+	for _, w := range s.workers {
+		w.unguarded = os.Getenv("UNGUARDED") != ""
+	}
 	var mu sync.Mutex
 	var jobs []*soakJob
 	var wg sync.WaitGroup
@@ -60,7 +67,12 @@
 						steps = append(steps, step(j.steps[n], 2000, ms, n-1))
 					}
 				}
-				job := map[string]any{"spec": spec(ms*(50+rand.IntN(100))/100, 2000), "steps": steps}
+				if apart {
+					for _, st := range steps {
+						st.(map[string]any)["anti-affinity"] = 1
+					}
+				}
+				job := map[string]any{"spec": fmt.Sprintf("%s failing=%d", spec(ms*(50+rand.IntN(100))/100, 2000), failing), "steps": steps}
 				mu.Lock()
 				jobs = append(jobs, j)
 				mu.Unlock()
@@ -192,6 +204,10 @@
 				s.store.put("servers/"+w.id, w.entry())
 			}
 			s.record.write("trouble", "store up")
+		case "slow":
+			// A fifth of the time, at most: the next trouble may come meanwhile.
+			s.record.write("trouble", "%s is slow for %s", d.name, for_)
+			go d.slow(for_)
 		case "crash":
 			s.record.write("trouble", "%s crashes", w.id)
 			w.crash()
@@ -213,6 +229,19 @@
 	return v, nil
 }
 
+// slow lets the daemon's process run for a fifth of the time.
+func (d *daemon) slow(for_ time.Duration) {
+	d.mu.Lock()
+	process := d.process.Process
+	d.mu.Unlock()
+	for end := time.Now().Add(for_); time.Now().Before(end); {
+		_ = process.Signal(syscall.SIGSTOP)
+		time.Sleep(40 * time.Millisecond)
+		_ = process.Signal(syscall.SIGCONT)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 func (s *system) awaitEnds(jobs []*soakJob, limit time.Duration) {
 	for end := s.record.now() + limit; s.record.now() < end; time.Sleep(200 * time.Millisecond) {
 		open := 0
@@ -275,6 +304,7 @@
 				v.add("LOST: job %s is answered with %d at %s", j.id, status, d.name)
 			case state == "completed" && len(done[j.id]) < j.tasks():
 				v.add("MIXED: job %s is completed at %s, with %d of %d tasks", j.id, d.name, len(done[j.id]), j.tasks())
+			case state == "failed" && os.Getenv("FAILING") != "":
 			case state == "failed" || state == "cancelled" && !j.cancelSent:
 				v.add("LOST: job %s is %s at %s", j.id, state, d.name)
 			case state != "completed" && !j.cancelSent:
@@ -303,6 +333,7 @@
 		}
 	}
 	s.checkOrder(v, byID)
+	s.checkRuns(v)
 	s.record.write("check", "%d jobs, %d accepted", len(jobs), accepted)
 	fmt.Println(len(jobs), "jobs,", accepted, "accepted")
 }
@@ -327,3 +358,41 @@
 		}
 	}
 }
+
+// checkRuns checks the attempts, the capacity of unguarded workers and anti-affinity.
+func (s *system) checkRuns(v *verdict) {
+	failed, acked := make(map[string]int), make(map[string]bool)
+	events := s.witness.all()
+	key := func(e runEvent) string { return fmt.Sprint(e.worker, e.task, e.run) }
+	for _, e := range events {
+		if e.what == "acked failed" {
+			acked[key(e)] = true
+		}
+	}
+	at := make(map[string]map[string]bool)
+	for _, e := range events {
+		step := e.worker + e.task[:strings.LastIndexByte(e.task, '.')]
+		switch e.what {
+		case "failed":
+			delete(at[step], e.task)
+			if acked[key(e)] {
+				failed[e.task]++
+			}
+		case "done", "stopped", "lapsed":
+			delete(at[step], e.task)
+		case "overload":
+			v.add("LIMIT: %s on %s", e.task, e.worker)
+		case "start":
+			if failed[e.task] >= 4 {
+				v.add("BUDGET: %s run %d", e.task, e.run)
+			}
+			if at[step] == nil {
+				at[step] = make(map[string]bool)
+			}
+			at[step][e.task] = true
+			if os.Getenv("APART") != "" && len(at[step]) > 1 {
+				v.add("ROUTE: %d tasks of a step on %s: %v", len(at[step]), e.worker, at[step])
+			}
+		}
+	}
+}
