--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command review-2 plays one case of the second independent review: it starts daemons as the deploy
 // file does, with stand-ins of the store, the workers and the clients on loopback addresses, makes the
 // trouble of the case and checks one rule by what clients and workers have seen.
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
